--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -36,6 +36,7 @@
 	cdr.Register(cdr.CommandsCommand(), "help")
 	for _, c := range []subcommands.Command{
 		&routerCommand{env: env},
+		&gatewayCommand{env: env},
 		&checkCommand{env: env},
 		&certsCommand{env: env},
 		&versionCommand{env: env},
--- /dev/null
+++ b/internal/control/admit.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/routing"
+)
+
+// Reason says why a request is not served.
+type Reason uint8
+
+// The reasons.
+const (
+	ReasonNone            Reason = iota
+	ReasonNoConfig               // no configuration is known yet
+	ReasonStale                  // the configuration may be out of date
+	ReasonNoRoute                // no route matches
+	ReasonUnauthenticated        // unknown key
+	ReasonNoEndpoint             // no endpoint can take the request
+)
+
+// String returns the reason's stable name in logs and metrics.
+func (r Reason) String() string {
+	switch r {
+	case ReasonNone:
+		return "none"
+	case ReasonNoConfig:
+		return "no_config"
+	case ReasonStale:
+		return "stale_config"
+	case ReasonNoRoute:
+		return "no_route"
+	case ReasonUnauthenticated:
+		return "unauthenticated"
+	case ReasonNoEndpoint:
+		return "no_endpoint"
+	default:
+		return "invalid"
+	}
+}
+
+// Arrival is a caller's request as far as admission needs it.
+type Arrival struct {
+	ID       fleet.RequestID
+	Host     string
+	Path     string
+	Key      string
+	Patience time.Duration // 0: not told
+	Affinity uint64        // hash of the shared parts of the prompt, 0: none
+}
+
+// Admission is the answer to an Arrival. With a Reason the request is not served.
+type Admission struct {
+	Reason     Reason
+	RetryAfter time.Duration
+	Route      *routing.Route
+	Service    fleet.ServiceID
+	Workspace  fleet.WorkspaceID
+	Urgency    int // 0 is the most urgent
+	TimeLimit  time.Duration
+	Revision   fleet.Revision // of the belief that decided
+	Age        time.Duration  // of that belief
+}
+
+// comeBackLater is when a caller refused for a lack of knowledge should return: the
+// store or a peer is asked again within it.
+const comeBackLater = 500 * time.Millisecond
+
+// Admit decides whether a request may run.
+func (s *State) Admit(now boottime.Instant, a Arrival) Admission {
+	ad := Admission{Revision: s.revision, Age: s.Age(now)}
+	if s.table == nil {
+		return ad.refuse(ReasonNoConfig)
+	}
+	ad.Route = s.table.Route(a.Host, a.Path)
+	if ad.Route == nil {
+		if !s.current(now) {
+			return ad.refuse(ReasonStale)
+		}
+		return ad.refuse(ReasonNoRoute)
+	}
+	if reason := s.identify(now, a.Key, &ad); reason != ReasonNone {
+		return ad.refuse(reason)
+	}
+	ad.TimeLimit = timeLimit(ad.Route, a.Patience)
+	ad.Service = s.pickService(ad.Route, a.Affinity)
+	return ad
+}
+
+func (a Admission) refuse(r Reason) Admission {
+	a.Reason = r
+	a.RetryAfter = comeBackLater
+	return a
+}
+
+// identify finds the workspace of a key.
+func (s *State) identify(now boottime.Instant, key string, ad *Admission) Reason {
+	ad.Urgency = ad.Route.Priority
+	if !s.table.HasWorkspaces() || ad.Route.Public && key == "" {
+		return ReasonNone
+	}
+	if !s.current(now) && !ad.Route.Public {
+		return ReasonStale
+	}
+	w := s.table.Workspace(key)
+	if w == nil {
+		if ad.Route.Public {
+			return ReasonNone
+		}
+		return ReasonUnauthenticated
+	}
+	ad.Workspace = w.ID
+	if w.HasPriority {
+		ad.Urgency = w.Priority
+	}
+	return ReasonNone
+}
+
+func timeLimit(r *routing.Route, patience time.Duration) time.Duration {
+	switch {
+	case r.Timeout <= 0:
+		return patience
+	case patience <= 0:
+		return r.Timeout
+	default:
+		return min(r.Timeout, patience)
+	}
+}
+
+// pickService splits a route's requests by weight. Requests with the same prompt go to
+// the same service, so that its endpoints' caches are used.
+func (s *State) pickService(r *routing.Route, affinity uint64) fleet.ServiceID {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if len(r.Targets) == 1 || total <= 0 {
+		return r.Targets[0].Service
+	}
+	x := s.rng.Float64() * total
+	if affinity != 0 {
+		x = float64(fleet.Weight(affinity, fleet.Hash(r.Prefix))>>11) / (1 << 53) * total
+	}
+	for _, t := range r.Targets {
+		if x -= t.Weight; x < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -30,6 +30,9 @@
 	Capacity    int          `cbor:"7,keyasint,omitempty" json:"capacity,omitempty"`     // concurrent requests, 0: unknown
 	Leaving     bool         `cbor:"8,keyasint,omitempty" json:"leaving,omitempty"`      // drains, takes no new work
 	ChecksFence bool         `cbor:"9,keyasint,omitempty" json:"checks_fence,omitempty"` // refuses orders with an old fencing number
+
+	Incarnation Incarnation   `cbor:"10,keyasint,omitempty" json:"incarnation,omitempty"` // 0: not told
+	ColdFor     time.Duration `cbor:"11,keyasint,omitempty" json:"cold_for,omitempty"`    // how much longer it is cold, as of the entry's writing
 }
 
 // Pool is the set of endpoints among which load is balanced: all that serve the
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+)
+
+// Settings is what one gateway process is told at its start.
+type Settings struct {
+	Instance    fleet.InstanceID
+	DataCentre  fleet.DataCentreID // in which the process runs
+	DataCentres map[fleet.DataCentreID]fleet.RegionID
+	Listen      Listen
+	Peers       Peers
+	Store       Store
+	Bounds      Bounds
+}
+
+// Listen holds the addresses on which the process listens, each IP:port over TCP.
+type Listen struct {
+	Callers  string // requests of callers
+	Balancer string // the balancer's question whether the process takes callers
+	Control  string // other processes that look for peers
+}
+
+// Peers says how other gateway processes are found.
+type Peers struct {
+	Addr  string   // UDP IP:port on which this process talks to peers; all processes use the same port
+	Seeds []string // IP:port of the control addresses of some processes, which may be down
+}
+
+// Store says where the platform publishes.
+type Store struct {
+	Addr string // IP:port
+}
+
+// Bounds are the figures that the deployment demands.
+type Bounds struct {
+	StopGrace       time.Duration // from the order to stop to the kill
+	Leave           time.Duration // after which a leaving endpoint gets nothing new
+	ConfigInForce   time.Duration // after which a published configuration is in force
+	StrictRevoke    bool          // keys count only while the configuration is known to be recent
+	RevokeInForce   time.Duration // after which a revoked key is refused
+	RetryRatio      float64       // retries for each request, over the fleet
+	RetryWindow     time.Duration // in which retries are counted
+	RetryExtra      float64       // retries beyond the ratio in a window, over the fleet
+	ColdMultiple    float64       // of the rate that a cold endpoint bears
+	ColdExtra       float64       // requests in a second beyond that
+	LoadMultiple    float64       // highest load of an endpoint as a multiple of the mean
+	AddressReuse    time.Duration // after which the address of an ended endpoint may have another one
+	EndpointBeat    time.Duration // between two heartbeats of an endpoint to the store
+	CacheRetention  time.Duration // for which a part of a prompt is worth finding again
+	MaxForwardDelay time.Duration // of an event of a stream in this process
+}
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -21,6 +21,7 @@
 	ID   []byte
 	Name []byte
 	Data []byte
+	Raw  []byte // the bytes as they arrived, with the blank line at the end
 }
 
 // Reader parses a stream of server-sent events.
@@ -61,6 +62,7 @@
 	r.ev.ID = r.ev.ID[:0]
 	r.ev.Name = r.ev.Name[:0]
 	r.ev.Data = r.ev.Data[:0]
+	r.ev.Raw = r.ev.Raw[:0]
 	r.size = 0
 	r.seen = false
 }
@@ -75,6 +77,7 @@
 			return nil, ErrTooLarge
 		}
 		r.line = append(r.line, part...)
+		r.ev.Raw = append(r.ev.Raw, part...)
 		if err == nil {
 			return bytes.TrimSuffix(r.line[:len(r.line)-1], []byte("\r")), nil
 		}
