--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/gateway"
 	"github.com/dandelionvane/dandelionvane/platform"
 )
@@ -37,6 +38,7 @@
 }
 
 func (c *gatewayCommand) run(ctx context.Context) error {
+	event.LogTo(c.env.Stdout)
 	path := os.Getenv(platform.SettingsVariable)
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -44,8 +46,9 @@
 	}
 	s, faults := platform.ParseSettings(string(text))
 	for _, fault := range faults {
-		klog.ErrorS(fault, "settings", "file", path)
+		event.Record(event.SettingsFault, "file", path, "err", fault.Error())
 	}
+	event.Record(event.SettingsRead, "file", path, "instance", s.Instance, "data_centre", s.DataCentre, "store", s.Store.Addr)
 	defer klog.Flush()
 	return gateway.Run(ctx, gateway.Options{Settings: s, Protocol: platform.Store{}, Dialect: platform.Headers{}})
 }
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -19,6 +19,9 @@
 	ReasonNoRoute                // no route matches
 	ReasonUnauthenticated        // unknown key
 	ReasonNoEndpoint             // no endpoint can take the request
+	ReasonRefused                // endpoints refused the request
+	ReasonRetryBudget            // endpoints failed, and the budget for retries is used up
+	ReasonMayHaveRun             // an endpoint failed that may have run the request, which must not be repeated
 )
 
 // String returns the reason's stable name in logs and metrics.
@@ -36,6 +39,12 @@
 		return "unauthenticated"
 	case ReasonNoEndpoint:
 		return "no_endpoint"
+	case ReasonRefused:
+		return "refused"
+	case ReasonRetryBudget:
+		return "retry_budget"
+	case ReasonMayHaveRun:
+		return "may_have_run"
 	default:
 		return "invalid"
 	}
@@ -60,6 +69,7 @@
 	Workspace  fleet.WorkspaceID
 	Urgency    int // 0 is the most urgent
 	TimeLimit  time.Duration
+	BodyLimit  int64          // bytes
 	Revision   fleet.Revision // of the belief that decided
 	Age        time.Duration  // of that belief
 }
@@ -70,10 +80,11 @@
 
 // Admit decides whether a request may run.
 func (s *State) Admit(now boottime.Instant, a Arrival) Admission {
-	ad := Admission{Revision: s.revision, Age: s.Age(now)}
+	ad := Admission{Revision: s.mirror.Revision(), Age: s.Age(now)}
 	if s.table == nil {
 		return ad.refuse(ReasonNoConfig)
 	}
+	ad.BodyLimit = s.table.Config().Limits.BodyBytes
 	ad.Route = s.table.Route(a.Host, a.Path)
 	if ad.Route == nil {
 		if !s.current(now) {
@@ -86,6 +97,7 @@
 	}
 	ad.TimeLimit = timeLimit(ad.Route, a.Patience)
 	ad.Service = s.pickService(ad.Route, a.Affinity)
+	s.window(ad.Service).Request(now)
 	return ad
 }
 
@@ -101,7 +113,10 @@
 	if !s.table.HasWorkspaces() || ad.Route.Public && key == "" {
 		return ReasonNone
 	}
-	if !s.current(now) && !ad.Route.Public {
+	if !s.current(now) {
+		if ad.Route.Public {
+			return ReasonNone
+		}
 		return ReasonStale
 	}
 	w := s.table.Workspace(key)
--- /dev/null
+++ b/internal/control/belief.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/event"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/published"
+	"github.com/dandelionvane/dandelionvane/internal/routing"
+)
+
+const (
+	// outageGap is the age of belief from which the store counts as having been away.
+	outageGap = 1500 * time.Millisecond
+	// returnTime is for how long after the store's return a missing entry may come back.
+	returnTime = 2200 * time.Millisecond
+)
+
+// belief is how recent the knowledge of the store is.
+type belief struct {
+	// confirmed is when the read was sent that last brought or confirmed the mirror:
+	// the mirror holds everything that was published before.
+	confirmed boottime.Instant
+	returned  boottime.Instant // when the store was last heard again after an outage
+}
+
+// confirm notes that the mirror held everything that was published before an instant.
+func (s *State) confirm(now, at boottime.Instant) {
+	if at <= s.belief.confirmed {
+		return
+	}
+	if s.belief.confirmed != 0 && at.Sub(s.belief.confirmed) > outageGap {
+		s.belief.returned = now
+		s.log(event.StoreReturned, "gap_ms", at.Sub(s.belief.confirmed).Milliseconds(), "revision", s.mirror.Revision())
+	}
+	s.belief.confirmed = at
+}
+
+// Age returns the time since the sending of the read that last confirmed what is known.
+func (s *State) Age(now boottime.Instant) time.Duration { return now.Sub(s.belief.confirmed) }
+
+// Revision returns the store's revision that is known.
+func (s *State) Revision() fleet.Revision { return s.mirror.Revision() }
+
+// current tells whether the configuration is recent enough to accept keys by it.
+func (s *State) current(now boottime.Instant) bool {
+	return !s.opts.StrictRevoke || s.Age(now) <= s.opts.BeliefLimit
+}
+
+// apply adopts an update of the store's items.
+func (s *State) apply(now boottime.Instant, u published.Update) {
+	changes := s.mirror.Apply(u)
+	for _, c := range changes {
+		if c.Fault != nil {
+			s.log(event.ItemUnreadable, "key", c.Key, "err", c.Fault.Error())
+		}
+		s.adopt(now, c.Record)
+	}
+	if len(changes) > 0 {
+		s.indexServices()
+	}
+}
+
+func (s *State) adopt(now boottime.Instant, r published.Record) {
+	switch r := r.(type) {
+	case published.Config:
+		s.table = routing.NewTable(r.Config)
+		s.log(event.ConfigAdopted, "version", r.Config.Version, "revision", s.mirror.Revision(),
+			"age_ms", s.Age(now).Milliseconds(), "routes", len(r.Config.Routes))
+	case published.Evacuation:
+		s.adoptEvacuation(r)
+	case published.Endpoint:
+		s.adoptEndpoint(now, r.Endpoint)
+	case published.EndpointGone:
+		s.dropEndpoint(now, r.ID)
+	}
+}
+
+func (s *State) adoptEvacuation(e published.Evacuation) {
+	if s.evacuated[e.DataCentre] == !e.Lifted {
+		return
+	}
+	s.evacuated[e.DataCentre] = !e.Lifted
+	s.log(event.DataCentreState, "data_centre", e.DataCentre, "out", !e.Lifted, "revision", s.mirror.Revision())
+}
--- /dev/null
+++ b/internal/control/peers.go
@@ -0,0 +1,165 @@
+package control
+
+import (
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/event"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/mesh"
+	"github.com/dandelionvane/dandelionvane/internal/published"
+	"github.com/dandelionvane/dandelionvane/internal/wire"
+)
+
+const (
+	// joinTime is how long a starting process waits for a peer before it takes callers.
+	joinTime = 1500 * time.Millisecond
+	// joinRetry is the time between two questions to the seeds until a peer is known.
+	joinRetry = 300 * time.Millisecond
+	// joinAgain is the time between two later questions, which find members that this
+	// part of the fleet has lost.
+	joinAgain = 10 * time.Second
+	// maxPullBytes is how much a peer is asked for. What is larger, as a configuration is,
+	// comes from the store: it has the bandwidth for the whole fleet, and a peer has not.
+	maxPullBytes = 8 << 10
+	// unknownFleet is the size assumed before any peer is known: the shares of a fleet
+	// that large are of no use to this process and of no harm to others.
+	unknownFleet = 400
+)
+
+// joining is how far this process has come in finding its peers.
+type joining struct {
+	since    boottime.Instant // of the process
+	asked    boottime.Instant
+	answered bool
+	stranger bool // an unknown gateway has sent a message: the seeds know it
+}
+
+// over tells whether the process knows its peers, or has waited long enough.
+func (j *joining) over(now boottime.Instant) bool {
+	return j.answered || now.Sub(j.since) >= joinTime
+}
+
+func (s *State) tickJoining(now boottime.Instant) {
+	j := &s.joined
+	if s.opts.Seeds == 0 {
+		j.answered = true
+		return
+	}
+	pause := joinAgain
+	if !j.answered || j.stranger {
+		pause = joinRetry
+	}
+	if j.asked != 0 && now.Sub(j.asked) < pause {
+		return
+	}
+	j.asked, j.stranger = now, false
+	s.do(AskSeeds{})
+}
+
+// Learn takes the members that a seed knows.
+func (s *State) Learn(now boottime.Instant, members []mesh.Member) {
+	s.joined.answered = true
+	s.learn(now, members)
+}
+
+// Join takes a gateway that asks this one for its members.
+func (s *State) Join(now boottime.Instant, m mesh.Member) { s.learn(now, []mesh.Member{m}) }
+
+func (s *State) learn(now boottime.Instant, members []mesh.Member) {
+	before := s.mesh.Size()
+	s.mesh.Learn(now, members)
+	if size := s.mesh.Size(); size != before {
+		s.log(event.MembersLearned, "members", size)
+	}
+}
+
+// Members returns all gateways that are known, this one among them.
+func (s *State) Members() []mesh.Member { return s.mesh.Members() }
+
+// fleetSize is the number of gateways that may send to the same endpoints.
+func (s *State) fleetSize() int {
+	if !s.joined.answered {
+		return unknownFleet
+	}
+	return s.mesh.Size()
+}
+
+// Message takes a message of a peer.
+func (s *State) Message(now boottime.Instant, from fleet.InstanceID, inc fleet.Incarnation, m wire.Message) {
+	switch m := m.(type) {
+	case wire.Status:
+		s.onStatus(now, from, inc, m)
+	case wire.ItemsPull:
+		s.onPull(from, m)
+	case wire.Items:
+		s.onItems(now, from, m)
+	}
+}
+
+func (s *State) onStatus(now boottime.Instant, from fleet.InstanceID, inc fleet.Incarnation, m wire.Status) {
+	if !s.mesh.Receive(now, from, inc, m) {
+		s.joined.stranger = true
+		return
+	}
+	s.loads.stale = true
+	s.hearDown(now, m.Down)
+	switch own := s.mirror.Revision(); {
+	case m.Revision > own:
+		s.reply(from, wire.ItemsPull{After: own, MaxBytes: maxPullBytes})
+	case m.Revision == own && own != 0:
+		if at, ok := s.mesh.Confirmed(now, m); ok {
+			s.confirm(now, at)
+		}
+	}
+}
+
+// reply sends over the connection that the peer has made or the address it is known by.
+func (s *State) reply(to fleet.InstanceID, m wire.Message) {
+	s.do(Send{mesh.Outgoing{To: to, Addr: s.mesh.Addr(to), Message: m}})
+}
+
+func (s *State) onPull(from fleet.InstanceID, m wire.ItemsPull) {
+	u := s.mirror.Since(m.After)
+	if u.Revision <= m.After {
+		return
+	}
+	reply := wire.Items{Revision: u.Revision, Whole: u.Whole, After: m.After}
+	size := uint64(0)
+	for _, it := range u.Items {
+		size += uint64(len(it.Key) + len(it.Value))
+		reply.Items = append(reply.Items, wire.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
+	}
+	if size > m.MaxBytes {
+		reply.TooLarge, reply.Items = true, nil
+	}
+	s.reply(from, reply)
+}
+
+func (s *State) onItems(now boottime.Instant, from fleet.InstanceID, m wire.Items) {
+	own := s.mirror.Revision()
+	if m.Revision <= own || !m.Whole && m.After > own {
+		return
+	}
+	if m.TooLarge {
+		s.wantRead(now, from)
+		return
+	}
+	u := published.Update{Revision: m.Revision, Whole: m.Whole}
+	for _, it := range m.Items {
+		u.Items = append(u.Items, published.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
+	}
+	s.apply(now, u)
+}
+
+// local is what peers are told.
+func (s *State) local(now boottime.Instant) mesh.Local {
+	return mesh.Local{
+		Revision:  s.mirror.Revision(),
+		Confirmed: s.belief.confirmed,
+		Stopping:  s.stopping,
+		InFlight:  s.ownInFlight(),
+		Down:      s.ownDown(now),
+		Version:   s.loads.version,
+	}
+}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -1,63 +1,132 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 )
 
-// shunBase is how long an endpoint is avoided after one failure; it doubles with each
-// further one up to shunMax.
 const (
-	shunBase = 300 * time.Millisecond
-	shunMax  = 3 * time.Second
+	// loadSlack is what an endpoint may hold beyond the multiple of the mean.
+	loadSlack = 2
+	// youngTime is for how long an endpoint may lack the parts of prompts that hash to it.
+	youngTime = 15 * time.Second
+	// comeBackWhenDown is when a caller should return for whom no endpoint is up: those
+	// that are down are tried again within it.
+	comeBackWhenDown = 700 * time.Millisecond
+	// comeBackWhenFull is when a caller should return whom full endpoints refused.
+	comeBackWhenFull = 250 * time.Millisecond
 )
 
-// Placement names the endpoint for one attempt.
+// Ticket counts one attempt at its endpoint until Ended.
+type Ticket struct {
+	Endpoint fleet.EndpointID
+	Addr     string
+	FetchAt  string          // address of an endpoint that may hold more of the prompt, "" for none
+	Load     int             // requests that the fleet has there, with this one
+	Mean     float64         // of the endpoints that could be chosen
+	Of       int             // how many could be chosen
+	Lost     <-chan struct{} // closed when the endpoint is found to be gone without a word
+
+	e    *endpoint
+	lost chan struct{}
+}
+
+// Placement names the endpoint for one attempt, or says why there is none.
 type Placement struct {
-	Reason     Reason // set when there is none
+	Reason     Reason
 	RetryAfter time.Duration
-	Endpoint   fleet.EndpointID
-	Addr       string
-	Load       int // requests of this process there, with this one
+	Ticket     *Ticket
+}
+
+// Want is what Place needs of a request.
+type Want struct {
+	Service  fleet.ServiceID
+	Affinity uint64             // hash of the shared parts of the prompt, 0: none
+	Tried    []fleet.EndpointID // left out
 }
 
-// Place chooses an endpoint of a service for a request and counts it there until
-// Ended. Endpoints in tried are left out.
-func (s *State) Place(now boottime.Instant, service fleet.ServiceID, affinity uint64, tried []fleet.EndpointID) Placement {
-	e := s.choose(now, service, affinity, tried)
-	if e == nil {
-		return Placement{Reason: ReasonNoEndpoint, RetryAfter: comeBackLater}
+// Place chooses an endpoint for a request and counts the request there until Ended.
+func (s *State) Place(now boottime.Instant, w Want) Placement {
+	c := s.candidates(now, w)
+	if len(c.able) == 0 {
+		return c.refusal()
 	}
+	e := s.choose(now, w.Affinity, c)
 	e.inFlight++
-	return Placement{Endpoint: e.ID, Addr: e.Addr, Load: e.inFlight}
+	e.cold.sent(now)
+	s.loads.version++
+	t := &Ticket{Endpoint: e.ID, Addr: e.Addr, Load: s.load(now, e), Mean: c.mean(), Of: len(c.able), e: e, lost: make(chan struct{})}
+	t.Lost = t.lost
+	t.FetchAt = s.fetchAt(now, w.Affinity, e)
+	e.tickets[t] = true
+	return Placement{Ticket: t}
 }
 
-func (s *State) choose(now boottime.Instant, service fleet.ServiceID, affinity uint64, tried []fleet.EndpointID) *endpoint {
-	var cands []*endpoint
-	total := 0
-	for _, e := range s.services[service] {
-		if !s.usable(e) || contains(tried, e.ID) {
-			continue
-		}
-		if now.Before(e.shunUntil) {
-			continue
+// candidates are the endpoints of a service that a request may go to.
+type candidates struct {
+	able  []*endpoint // those that may take it now
+	loads []int       // of each in able
+	total int
+	down  int // those that are down
+	cold  int // those that are cold and have had their share
+	tried int
+}
+
+func (c *candidates) mean() float64 { return float64(c.total) / float64(max(len(c.able), 1)) }
+
+func (c *candidates) refusal() Placement {
+	if c.down > 0 && c.tried == 0 {
+		return Placement{Reason: ReasonNoEndpoint, RetryAfter: comeBackWhenDown}
+	}
+	return Placement{Reason: ReasonNoEndpoint, RetryAfter: comeBackWhenFull}
+}
+
+// candidates prefers endpoints without recent failures, and takes those that are
+// avoided for them only when there are no others.
+func (s *State) candidates(now boottime.Instant, w Want) candidates {
+	var c candidates
+	var avoided []*endpoint
+	for _, e := range s.services[w.Service] {
+		switch {
+		case !s.usable(now, e):
+		case slices.Contains(w.Tried, e.ID):
+			c.tried++
+		case e.health.down:
+			c.down++
+		case !s.coldRoom(now, e):
+			c.cold++
+		case now.Before(e.health.avoidUntil):
+			avoided = append(avoided, e)
+		default:
+			c.able = append(c.able, e)
 		}
-		cands = append(cands, e)
-		total += e.inFlight
 	}
-	if len(cands) == 0 {
-		return nil
+	if len(c.able) == 0 {
+		c.able = avoided
 	}
+	for _, e := range c.able {
+		l := s.load(now, e)
+		c.loads = append(c.loads, l)
+		c.total += l
+	}
+	return c
+}
+
+// choose picks one of the able endpoints. A request with a prompt goes to the first
+// endpoint of its prompt's own order that is not above the bound; others go to the one
+// with the least load.
+func (s *State) choose(now boottime.Instant, affinity uint64, c candidates) *endpoint {
 	if affinity == 0 {
-		return s.leastLoaded(cands)
+		return s.leastLoaded(c)
 	}
-	bound := s.opts.LoadMultiple*float64(total)/float64(len(cands)) + s.opts.LoadSlack
+	bound := s.opts.LoadMultiple*(float64(c.total)+1)/float64(len(c.able)) + loadSlack
 	var best *endpoint
 	var bestWeight uint64
-	for _, e := range cands {
-		if float64(e.inFlight+1) > bound {
+	for i, e := range c.able {
+		if float64(c.loads[i]+1) > bound {
 			continue
 		}
 		if w := fleet.Weight(affinity, e.hash); best == nil || w > bestWeight {
@@ -65,38 +134,62 @@
 		}
 	}
 	if best == nil {
-		return s.leastLoaded(cands)
+		return s.leastLoaded(c)
 	}
 	return best
 }
 
 // leastLoaded prefers the own data centre among equals.
-func (s *State) leastLoaded(cands []*endpoint) *endpoint {
-	var best *endpoint
-	start := s.rng.IntN(len(cands))
-	for i := range cands {
-		e := cands[(start+i)%len(cands)]
-		if best == nil || s.lighter(e, best) {
-			best = e
+func (s *State) leastLoaded(c candidates) *endpoint {
+	best := -1
+	start := s.rng.IntN(len(c.able))
+	for n := range c.able {
+		i := (start + n) % len(c.able)
+		if best < 0 || s.lighter(&c, i, best) {
+			best = i
 		}
 	}
-	return best
+	return c.able[best]
 }
 
-func (s *State) lighter(a, b *endpoint) bool {
-	if a.inFlight != b.inFlight {
-		return a.inFlight < b.inFlight
+func (s *State) lighter(c *candidates, a, b int) bool {
+	if c.loads[a] != c.loads[b] {
+		return c.loads[a] < c.loads[b]
 	}
-	return a.DataCentre == s.opts.DataCentre && b.DataCentre != s.opts.DataCentre
+	own := s.opts.Self.DataCentre
+	return c.able[a].DataCentre == own && c.able[b].DataCentre != own
 }
 
-func contains(ids []fleet.EndpointID, id fleet.EndpointID) bool {
-	for _, t := range ids {
-		if t == id {
-			return true
+// fetchAt names an endpoint that is likely to hold the shared parts of a prompt that the
+// chosen one lacks: the first of the prompt's order, where the chosen one is another or
+// has just started.
+func (s *State) fetchAt(now boottime.Instant, affinity uint64, chosen *endpoint) string {
+	svc := s.service(chosen)
+	if affinity == 0 || svc == nil || svc.CacheTokens == 0 {
+		return ""
+	}
+	var first, second *endpoint
+	var firstWeight, secondWeight uint64
+	for _, e := range s.services[chosen.Service] {
+		if !e.listed || e.moved || e.health.down || s.evacuated[e.DataCentre] {
+			continue
 		}
+		switch w := fleet.Weight(affinity, e.hash); {
+		case first == nil || w > firstWeight:
+			second, secondWeight = first, firstWeight
+			first, firstWeight = e, w
+		case second == nil || w > secondWeight:
+			second, secondWeight = e, w
+		}
+	}
+	switch {
+	case first != nil && first != chosen:
+		return first.Addr
+	case second != nil && now.Sub(chosen.since) < youngTime:
+		return second.Addr
+	default:
+		return ""
 	}
-	return false
 }
 
 // Result is what became of an attempt.
@@ -104,28 +197,82 @@
 
 // The results of an attempt.
 const (
-	Answered    Result = iota + 1 // a whole answer came
-	Unreachable                   // no connection could be made
-	Broken                        // the connection broke, or what came is no answer
-	Full                          // the endpoint refused the request
-	Misplaced                     // another endpoint has the address
-	Cancelled                     // the caller left, or the time was over
+	Answered  Result = iota + 1 // a whole answer came
+	Failed                      // the endpoint answered that it failed
+	Refused                     // the connection was refused
+	Silent                      // nothing came back to the opening of the connection
+	Broken                      // the connection broke, or what came is no answer
+	Hanging                     // the connection stands, but the answer does not come
+	Full                        // the endpoint refused the request
+	Moved                       // another endpoint has the address
+	Cancelled                   // the caller left, or the time was over
 )
 
-// Ended takes the result of the attempt that Place counted.
-func (s *State) Ended(now boottime.Instant, id fleet.EndpointID, r Result) {
-	e := s.endpoints[id]
-	if e == nil {
+// String returns the result's stable name in logs and metrics.
+func (r Result) String() string {
+	switch r {
+	case Answered:
+		return "answered"
+	case Failed:
+		return "failed"
+	case Refused:
+		return "connection_refused"
+	case Silent:
+		return "unreachable"
+	case Broken:
+		return "broken"
+	case Hanging:
+		return "hanging"
+	case Full:
+		return "refused"
+	case Moved:
+		return "misdirected"
+	case Cancelled:
+		return "cancelled"
+	default:
+		return "invalid"
+	}
+}
+
+// Ended takes the result of the attempt that a ticket counts.
+func (s *State) Ended(now boottime.Instant, t *Ticket, r Result) {
+	e := t.e
+	if !e.tickets[t] {
 		return
 	}
-	e.inFlight = max(e.inFlight-1, 0)
+	delete(e.tickets, t)
+	e.inFlight--
+	s.loads.version++
 	switch r {
 	case Answered:
-		e.failures = 0
-	case Unreachable, Broken, Full:
-		e.shunUntil = now.Add(min(shunBase<<min(e.failures, 10), shunMax))
-		e.failures++
-	case Misplaced:
-		e.misplaced = true
+		s.result(now, e, true)
+		s.markUp(now, e)
+	case Failed, Broken, Hanging:
+		s.result(now, e, false)
+	case Refused, Silent:
+		s.markDown(now, e, r == Silent, true)
+	case Full:
+		e.health.avoidUntil = max(e.health.avoidUntil, now.Add(fullTime))
+	case Moved:
+		e.moved = true
+	}
+}
+
+// Started notes that the endpoint of a ticket has begun to answer.
+func (s *State) Started(now boottime.Instant, t *Ticket) { t.e.health.lastGood = now }
+
+// Cold notes that an endpoint said how much longer it is cold.
+func (s *State) Cold(now boottime.Instant, t *Ticket, left time.Duration) {
+	t.e.cold.until = max(t.e.cold.until, now.Add(left))
+}
+
+// abandon tells the requests at an endpoint that it is gone without a word.
+func (s *State) abandon(e *endpoint) {
+	for t := range e.tickets {
+		select {
+		case <-t.lost:
+		default:
+			close(t.lost)
+		}
 	}
 }
--- /dev/null
+++ b/internal/control/reader.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/event"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/published"
+	"github.com/dandelionvane/dandelionvane/internal/wire"
+)
+
+const (
+	// readAge is the age of belief at which the first gateway of the order reads the
+	// store again: a fifth of the time within which a leaving endpoint must get nothing.
+	readAge = 400 * time.Millisecond
+	// readAgeStep is added for each gateway that comes before in the order: it has the
+	// time for a read and for telling the others.
+	readAgeStep = 350 * time.Millisecond
+	// maxReadAge is the age at which any gateway reads, whatever its place.
+	maxReadAge = 1100 * time.Millisecond
+	// readSpread keeps gateways that all lost the store from calling it together.
+	readSpread = 300 * time.Millisecond
+
+	// wantSpread keeps the gateways of a large fleet from reading a new configuration at
+	// the same moment.
+	wantSpread = 150 * time.Millisecond
+
+	minReadBackoff = 200 * time.Millisecond
+	maxReadBackoff = time.Second
+)
+
+// readerKey orders the gateways for reading the store.
+const readerKey = 0x5f3759df
+
+// reader decides when this process reads the store. Few gateways do while peers keep
+// the others up to date.
+type reader struct {
+	busy     bool
+	sent     boottime.Instant
+	failures int
+	next     boottime.Instant // not before
+	known    fleet.Revision   // of the store, as of the last read
+	relist   bool             // the history does not reach back
+	spread   time.Duration    // of this process, for its place at the end of the order
+	down     bool             // the last read failed
+	wanted   boottime.Instant // read then, whatever the age, 0: no
+	holder   fleet.InstanceID // the peer that has what is wanted
+}
+
+func (s *State) tickReader(now boottime.Instant) {
+	r := &s.reader
+	wanted := r.wanted != 0 && !now.Before(r.wanted)
+	if r.busy || now.Before(r.next) || !wanted && s.Age(now) < s.readThreshold(now) {
+		return
+	}
+	r.wanted = 0
+	r.busy = true
+	r.sent = now
+	after := max(r.known, s.mirror.Revision())
+	s.do(ReadStore{Whole: r.relist || after == 0, After: after})
+}
+
+// wantRead makes this process read the store for what a peer has but does not send.
+func (s *State) wantRead(now boottime.Instant, holder fleet.InstanceID) {
+	r := &s.reader
+	r.holder = holder
+	if r.wanted == 0 {
+		r.wanted = now.Add(time.Duration(s.rng.Int64N(int64(wantSpread))))
+	}
+}
+
+// readThreshold is the age of belief at which this process reads.
+func (s *State) readThreshold(now boottime.Instant) time.Duration {
+	if s.mirror.Revision() == 0 {
+		return 0
+	}
+	r := &s.reader
+	if r.spread == 0 {
+		r.spread = 1 + time.Duration(s.rng.Int64N(int64(readSpread)))
+	}
+	rank := time.Duration(s.mesh.Rank(now, readerKey))
+	return min(readAge+rank*readAgeStep, maxReadAge+r.spread)
+}
+
+// ReadDone takes the result of a read that ReadStore asked for.
+func (s *State) ReadDone(now boottime.Instant, u published.Update) {
+	r := &s.reader
+	if r.down {
+		s.log(event.PlatformReadable, "failures", r.failures, "revision", u.Revision)
+	}
+	r.busy, r.failures, r.down, r.relist, r.holder = false, 0, false, false, ""
+	r.known = max(r.known, u.Revision)
+	s.confirm(now, u.Confirmed)
+	s.apply(now, u)
+	s.send(s.mesh.Urgent(now, s.local(now)))
+}
+
+// ReadFailed takes the failure of a read that ReadStore asked for.
+func (s *State) ReadFailed(now boottime.Instant, err error) {
+	r := &s.reader
+	r.busy = false
+	if errors.Is(err, published.ErrHistoryGone) {
+		r.relist = true
+		s.log(event.HistoryGone, "after", max(r.known, s.mirror.Revision()))
+		return
+	}
+	if !r.down {
+		s.log(event.PlatformUnreadable, "err", err.Error(), "age_ms", s.Age(now).Milliseconds(), "revision", s.mirror.Revision())
+	}
+	r.down = true
+	if r.holder != "" {
+		s.reply(r.holder, wire.ItemsPull{After: s.mirror.Revision(), MaxBytes: wire.MaxFrameBytes / 2})
+		r.holder = ""
+	}
+	backoff := min(minReadBackoff<<min(r.failures, 8), maxReadBackoff)
+	r.failures++
+	r.next = now.Add(backoff/2 + time.Duration(s.rng.Int64N(int64(backoff))))
+}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -5,143 +5,144 @@
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/mesh"
 	"github.com/dandelionvane/dandelionvane/internal/published"
+	"github.com/dandelionvane/dandelionvane/internal/retry"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
 
 // Options tunes a State.
 type Options struct {
-	Instance     fleet.InstanceID
-	DataCentre   fleet.DataCentreID
-	Seed         uint64
+	Self     mesh.Member
+	Seed     uint64 // random, new for each process
+	Seeds    int    // control addresses of other gateways that the settings name
+	Protocol published.Protocol
+
 	StrictRevoke bool          // refuse keys when the configuration may be out of date
 	BeliefLimit  time.Duration // age of the configuration up to which keys are accepted
 	LoadMultiple float64       // highest load of an endpoint as a multiple of its service's mean
-	LoadSlack    float64       // requests that an endpoint may hold beyond that multiple
+	ColdMultiple float64       // of the rate that a cold endpoint bears, not to be exceeded by the fleet
+	ColdExtra    float64       // requests in a second beyond that
+	RetryRatio   float64       // retries for each request, over the fleet
+	RetryExtra   float64       // retries in a window beyond the ratio, over the fleet
+	RetryWindow  time.Duration
 }
 
 // State is the decision state. See the package comment.
 type State struct {
 	opts Options
 	rng  *rand.Rand
+	acts []Action
+
+	mirror *published.Mirror
+	belief belief
+	reader reader
+	mesh   *mesh.State
+	joined joining
+	loads  loads
 
 	table     *routing.Table
-	revision  fleet.Revision   // of the store, up to which all changes are known
-	confirmed boottime.Instant // when the read was sent that brought or confirmed the revision
 	evacuated map[fleet.DataCentreID]bool
 	endpoints map[fleet.EndpointID]*endpoint
 	services  map[fleet.ServiceID][]*endpoint
+	retries   map[fleet.ServiceID]*retry.Window
 	stopping  bool
 }
 
-// New returns the state of a process that knows nothing.
-func New(opts Options) *State {
+// New returns the state of a process that starts now.
+func New(now boottime.Instant, opts Options) *State {
 	return &State{
 		opts:      opts,
 		rng:       rand.New(rand.NewPCG(opts.Seed, 0)),
+		mirror:    published.NewMirror(opts.Protocol),
+		mesh:      mesh.New(now, opts.Self, opts.Seed),
+		joined:    joining{since: now},
 		evacuated: map[fleet.DataCentreID]bool{},
 		endpoints: map[fleet.EndpointID]*endpoint{},
 		services:  map[fleet.ServiceID][]*endpoint{},
+		retries:   map[fleet.ServiceID]*retry.Window{},
 	}
 }
 
-// Publication is what a read of the store brought.
-type Publication struct {
-	Revision  fleet.Revision
-	Confirmed boottime.Instant // when the read was sent
-	Whole     bool             // Records hold everything there is
-	Records   []published.Record
+// Tick lets time pass.
+func (s *State) Tick(now boottime.Instant) {
+	s.tickReader(now)
+	s.tickJoining(now)
+	s.tickEndpoints(now)
+	s.send(s.mesh.Tick(now, s.local(now)))
 }
 
-// Publish adopts what a read of the store brought. Older revisions than the adopted
-// one change nothing.
-func (s *State) Publish(now boottime.Instant, p Publication) {
-	if p.Revision < s.revision {
-		return
-	}
-	s.revision = p.Revision
-	s.confirmed = max(s.confirmed, p.Confirmed)
-	if p.Whole {
-		s.dropUnlisted(p.Records)
-	}
-	for _, r := range p.Records {
-		s.adopt(now, r)
-	}
-	s.indexServices()
+// Ready tells whether callers should be sent to this process.
+func (s *State) Ready(now boottime.Instant) bool {
+	return !s.stopping && s.table != nil && s.current(now) && s.joined.over(now)
 }
 
-func (s *State) adopt(now boottime.Instant, r published.Record) {
-	switch r := r.(type) {
-	case published.Config:
-		s.table = routing.NewTable(r.Config)
-	case published.Evacuation:
-		s.adoptEvacuation(r)
-	case published.Endpoint:
-		s.adoptEndpoint(now, r.Endpoint)
-	case published.EndpointGone:
-		delete(s.endpoints, r.ID)
-	}
+// Stop begins a planned stop.
+func (s *State) Stop(now boottime.Instant) {
+	s.stopping = true
+	s.loads.version++
+	s.send(s.mesh.Urgent(now, s.local(now)))
 }
 
-func (s *State) adoptEvacuation(e published.Evacuation) {
-	if e.Lifted {
-		delete(s.evacuated, e.DataCentre)
-		return
-	}
-	s.evacuated[e.DataCentre] = true
-}
+// Stopping tells whether a planned stop has begun.
+func (s *State) Stopping() bool { return s.stopping }
 
-// dropUnlisted removes what a whole list no longer holds.
-func (s *State) dropUnlisted(records []published.Record) {
-	endpoints := map[fleet.EndpointID]bool{}
-	evacuated := map[fleet.DataCentreID]bool{}
-	for _, r := range records {
-		switch r := r.(type) {
-		case published.Endpoint:
-			endpoints[r.Endpoint.ID] = true
-		case published.Evacuation:
-			evacuated[r.DataCentre] = !r.Lifted
-		}
-	}
-	for id := range s.endpoints {
-		if !endpoints[id] {
-			delete(s.endpoints, id)
-		}
-	}
-	for dc := range s.evacuated {
-		if !evacuated[dc] {
-			delete(s.evacuated, dc)
-		}
+// Limits returns the limits on callers' requests in force.
+func (s *State) Limits() routing.Limits {
+	if s.table == nil {
+		return routing.Limits{}
 	}
+	return s.table.Config().Limits
 }
 
-// Ready tells whether callers should be sent to this process.
-func (s *State) Ready(now boottime.Instant) bool {
-	return !s.stopping && s.table != nil && s.current(now)
+// Action is something that the process has to do.
+type Action interface{ action() }
+
+// Send delivers a message to a peer, at most once and without guarantee.
+type Send struct{ mesh.Outgoing }
+
+// ReadStore asks for one read of the store, whose result goes to ReadDone or ReadFailed.
+type ReadStore struct {
+	Whole bool // all items, else the changes after a revision
+	After fleet.Revision
 }
 
-// current tells whether the configuration is recent enough to accept keys by it.
-func (s *State) current(now boottime.Instant) bool {
-	return !s.opts.StrictRevoke || s.Age(now) <= s.opts.BeliefLimit
+// AskSeeds asks for the members that the control addresses of the settings know.
+type AskSeeds struct{}
+
+// ProbeEndpoint asks whether a connection to an endpoint can be made.
+type ProbeEndpoint struct {
+	ID   fleet.EndpointID
+	Addr string
 }
 
-// Age returns the time since the read that last confirmed the configuration was sent.
-func (s *State) Age(now boottime.Instant) time.Duration { return now.Sub(s.confirmed) }
+// Log asks for a line in the log.
+type Log struct {
+	Event  event.Number
+	Fields []any // names and values by turns
+}
 
-// Revision returns the store's revision that was adopted last.
-func (s *State) Revision() fleet.Revision { return s.revision }
+func (Send) action()          {}
+func (ReadStore) action()     {}
+func (AskSeeds) action()      {}
+func (ProbeEndpoint) action() {}
+func (Log) action()           {}
+
+// Drain returns the actions since the last call.
+func (s *State) Drain() []Action {
+	acts := s.acts
+	s.acts = nil
+	return acts
+}
 
-// Stop begins a planned stop.
-func (s *State) Stop() { s.stopping = true }
+func (s *State) do(a Action) { s.acts = append(s.acts, a) }
 
-// Stopping tells whether a planned stop has begun.
-func (s *State) Stopping() bool { return s.stopping }
+func (s *State) log(n event.Number, fields ...any) { s.do(Log{Event: n, Fields: fields}) }
 
-// Limits returns the limits on callers' requests in force.
-func (s *State) Limits() routing.Limits {
-	if s.table == nil {
-		return routing.Limits{}
+func (s *State) send(out []mesh.Outgoing) {
+	for _, o := range out {
+		s.do(Send{o})
 	}
-	return s.table.Config().Limits
 }
--- a/internal/event/number.go
+++ b/internal/event/number.go
@@ -47,4 +47,26 @@
 	PlatformUnreadable Number = 801
 	PlatformReadable   Number = 802
 	PeerRefused        Number = 304
+	SettingsRead       Number = 105
+	SettingsFault      Number = 106
+	ItemUnreadable     Number = 203
+	DataCentreState    Number = 204
+	ConfigUnknown      Number = 205
+	MembersLearned     Number = 305
+	SeedUnreachable    Number = 306
+	EndpointListed     Number = 405
+	EndpointLapsed     Number = 406
+	EndpointRemoved    Number = 407
+	EndpointDown       Number = 408
+	EndpointUp         Number = 409
+	EndpointFailing    Number = 410
+	RequestAdmitted    Number = 505
+	AttemptPlaced      Number = 506
+	AttemptEnded       Number = 507
+	RequestAnswered    Number = 508
+	RequestRejected    Number = 509
+	CallerLeft         Number = 510
+	RequestOverdue     Number = 511
+	StoreReturned      Number = 803
+	HistoryGone        Number = 804
 )
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -41,6 +41,12 @@
 // Error implements error.
 func (e *Error) Error() string { return "exchange: " + e.Cause.Error() }
 
+// Timeout tells whether the endpoint did not answer in time.
+func (e *Error) Timeout() bool {
+	var ne net.Error
+	return errors.As(e.Cause, &ne) && ne.Timeout()
+}
+
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
@@ -81,6 +87,16 @@
 	return a, nil
 }
 
+// Probe tells whether a connection to an address can be made. It sends nothing over it.
+func (c *Client) Probe(ctx context.Context, addr string) *Error {
+	conn, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return &Error{Connect: true, Cause: err}
+	}
+	_ = conn.Close()
+	return nil
+}
+
 func roundTrip(conn net.Conn, rq *Request) (*Answer, error) {
 	hr := rq.httpRequest()
 	w := &countingWriter{w: conn}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,17 +12,18 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
-	"k8s.io/klog/v2"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/event"
+	"github.com/dandelionvane/dandelionvane/internal/exchange"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/ingress"
+	"github.com/dandelionvane/dandelionvane/internal/metrics"
+	"github.com/dandelionvane/dandelionvane/internal/peering"
 	"github.com/dandelionvane/dandelionvane/internal/published"
 )
 
-// storePeriod is the time between two reads of the store.
-const storePeriod = 400 * time.Millisecond
-
 // Options is what a process needs beside its settings.
 type Options struct {
 	Settings Settings
@@ -30,60 +31,93 @@
 	Dialect  ingress.Dialect
 }
 
+// process is one running gateway.
 type process struct {
-	opts   Options
-	loop   *loop
-	server *ingress.Server
-	front  *http.Server
-	ready  *http.Server
-	failed chan error
+	opts    Options
+	loop    *loop
+	ctx     context.Context // ends with the process
+	wg      sync.WaitGroup
+	metrics *metrics.Registry
+	client  *exchange.Client
+	store   *published.Client
+	reads   chan control.ReadStore
+	peers   *peering.Transport
+	seeds   *seedClient
+	server  *ingress.Server
+	callers *http.Server
+	failed  chan error
+
+	incarnation fleet.Incarnation // random, new for each process
 }
 
 // Run runs a gateway until ctx ends and its planned stop is complete.
 func Run(ctx context.Context, o Options) error {
-	p := &process{opts: o, failed: make(chan error, 4)}
-	p.loop = newLoop(control.New(control.Options{
-		Instance:     o.Settings.Instance,
-		DataCentre:   o.Settings.DataCentre,
-		StrictRevoke: o.Settings.Bounds.StrictRevoke,
-		BeliefLimit:  o.Settings.Bounds.RevokeInForce - time.Second,
-		LoadMultiple: 1.5,
-		LoadSlack:    3,
-	}))
-	p.server = ingress.New(p.loop, o.Dialect)
-	return p.run(ctx)
-}
-
-func (p *process) run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var wg sync.WaitGroup
-	wg.Go(func() { p.loop.run(work) })
-	wg.Go(func() { p.follow(work) })
-	p.front = &http.Server{Handler: p.server, ReadHeaderTimeout: 5 * time.Second}
-	p.ready = &http.Server{Handler: p.readyHandler()}
-	if err := p.listen(p.front, p.opts.Settings.Listen.Callers); err != nil {
-		return err
+	p := &process{
+		opts:    o,
+		ctx:     work,
+		metrics: metrics.New(),
+		client:  exchange.NewClient(connectTimeout),
+		store:   published.NewClient(o.Settings.Store.Addr, o.Protocol),
+		reads:   make(chan control.ReadStore, 1),
+		seeds:   newSeedClient(o.Settings),
+		failed:  make(chan error, 4),
 	}
-	if err := p.listen(p.ready, p.opts.Settings.Listen.Balancer); err != nil {
+	defer p.metrics.Close()
+	seed := randomSeed()
+	p.loop = newLoop(control.New(boottime.Now(), o.Settings.control(seed, o.Protocol)), p.execute)
+	p.server = ingress.New(p.loop, o.Dialect, p.client, ingress.NewMeter(p.metrics.Scope()))
+	if err := p.listenPeers(seed); err != nil {
 		return err
 	}
-	if err := p.listen(&http.Server{Handler: http.NotFoundHandler()}, p.opts.Settings.Listen.Control); err != nil {
-		return err
-	}
-	err := p.wait(ctx)
+	err := p.run(ctx)
 	cancel()
-	wg.Wait()
+	_ = p.peers.Close()
+	p.wg.Wait()
+	p.store.Close()
 	return err
 }
 
-func (p *process) readyHandler() http.Handler {
+// connectTimeout bounds the opening of a connection to an endpoint: many times the round
+// trip between data centres of a region, and less than a late answer takes.
+const connectTimeout = 150 * time.Millisecond
+
+func (p *process) run(ctx context.Context) error {
+	s := &p.opts.Settings
+	event.Record(event.ProcessStarted, "instance", s.Instance, "data_centre", s.DataCentre, "callers", s.Listen.Callers, "peers", s.Peers.Addr)
+	p.wg.Go(func() { p.loop.run(p.ctx) })
+	p.wg.Go(p.readStore)
+	p.callers = &http.Server{Handler: p.server, ReadHeaderTimeout: headerTimeout}
+	for addr, srv := range map[string]*http.Server{
+		s.Listen.Callers:  p.callers,
+		s.Listen.Balancer: {Handler: p.balancerHandler(), ReadHeaderTimeout: headerTimeout},
+		s.Listen.Control:  {Handler: p.controlHandler(), ReadHeaderTimeout: headerTimeout},
+	} {
+		if err := p.serve(srv, addr); err != nil {
+			return err
+		}
+	}
+	return p.wait(ctx)
+}
+
+// headerTimeout bounds the receipt of a request's header.
+const headerTimeout = 5 * time.Second
+
+func (p *process) balancerHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Get(p.opts.Dialect.ReadyPath(), p.server.ServeReady)
 	return r
 }
 
-func (p *process) listen(s *http.Server, addr string) error {
+func (p *process) controlHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Post(membersPath, p.serveMembers)
+	r.Method(http.MethodGet, "/metrics", p.metrics.Handler())
+	return r
+}
+
+func (p *process) serve(s *http.Server, addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.Wrap(err, "gateway: listen")
@@ -96,42 +130,48 @@
 	return nil
 }
 
-// wait returns after a planned stop, or when a listener failed.
-func (p *process) wait(ctx context.Context) error {
-	select {
-	case err := <-p.failed:
-		return err
-	case <-ctx.Done():
+// execute carries out an action of the control state. It does not block.
+func (p *process) execute(a control.Action) {
+	switch a := a.(type) {
+	case control.Send:
+		p.peers.Send(a.To, a.Addr, p.frame(a.Message))
+	case control.ReadStore:
+		p.reads <- a // the state asks for one read at a time
+	case control.AskSeeds:
+		p.wg.Go(p.askSeeds)
+	case control.ProbeEndpoint:
+		p.wg.Go(func() { p.probe(a) })
+	case control.Log:
+		event.Record(a.Event, a.Fields...)
 	}
-	p.server.Stop()
-	p.loop.Do(func(s *control.State, _ boottime.Instant) { s.Stop() })
-	time.Sleep(2500 * time.Millisecond)
-	stop, cancel := context.WithTimeout(context.Background(), p.opts.Settings.Bounds.StopGrace-3*time.Second)
-	defer cancel()
-	if err := p.front.Shutdown(stop); err != nil {
-		klog.ErrorS(err, "requests were cut off by the end of the grace period")
-	}
-	return nil
 }
 
-// follow hands what the store publishes to the control state.
-func (p *process) follow(ctx context.Context) {
-	client := published.NewClient(p.opts.Settings.Store.Addr, p.opts.Protocol)
-	defer client.Close()
-	f := published.NewFollower(client, storePeriod)
-	f.Run(ctx, p.adopt, func(err error) { klog.ErrorS(err, "the store cannot be read") })
+// readStore makes the reads that the control state asks for.
+func (p *process) readStore() {
+	for {
+		select {
+		case r := <-p.reads:
+			u, err := p.store.Read(p.ctx, r.Whole, r.After)
+			p.loop.Do(func(s *control.State, now boottime.Instant) {
+				if err != nil {
+					s.ReadFailed(now, err)
+					return
+				}
+				s.ReadDone(now, u)
+			})
+		case <-p.ctx.Done():
+			return
+		}
+	}
 }
 
-func (p *process) adopt(u published.Update) {
-	pub := control.Publication{Revision: u.Revision, Confirmed: u.Confirmed, Whole: u.Whole}
-	for _, it := range u.Items {
-		r, err := p.opts.Protocol.DecodeItem(it)
-		if err != nil {
-			klog.ErrorS(err, "an item of the store cannot be used", "key", it.Key)
-		}
-		if r != nil {
-			pub.Records = append(pub.Records, r)
+func (p *process) probe(a control.ProbeEndpoint) {
+	r := control.ProbeConnected
+	if err := p.client.Probe(p.ctx, a.Addr); err != nil {
+		r = control.ProbeRefused
+		if err.Timeout() {
+			r = control.ProbeSilent
 		}
 	}
-	p.loop.Do(func(s *control.State, now boottime.Instant) { s.Publish(now, pub) })
+	p.loop.Do(func(s *control.State, now boottime.Instant) { s.Probed(now, a.ID, r) })
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 )
 
+// tickPeriod is the time between two ticks of the control state: a fraction of the
+// shortest time that it waits for.
+const tickPeriod = 40 * time.Millisecond
+
 // loop owns the control state. All decisions are made on its goroutine.
 type loop struct {
-	state *control.State
-	jobs  chan job
-	done  chan struct{} // closed when the loop has ended
+	state   *control.State
+	execute func(control.Action) // must not block
+	jobs    chan job
+	done    chan struct{} // closed when the loop has ended
 }
 
 type job struct {
@@ -19,8 +25,8 @@
 	finished chan struct{}
 }
 
-func newLoop(s *control.State) *loop {
-	return &loop{state: s, jobs: make(chan job), done: make(chan struct{})}
+func newLoop(s *control.State, execute func(control.Action)) *loop {
+	return &loop{state: s, execute: execute, jobs: make(chan job), done: make(chan struct{})}
 }
 
 // Do implements ingress.Control. It does nothing after the loop has ended.
@@ -35,13 +41,20 @@
 
 func (l *loop) run(ctx context.Context) {
 	defer close(l.done)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
 	for {
 		select {
 		case j := <-l.jobs:
 			j.run(l.state, boottime.Now())
 			close(j.finished)
+		case <-ticker.C:
+			l.state.Tick(boottime.Now())
 		case <-ctx.Done():
 			return
 		}
+		for _, a := range l.state.Drain() {
+			l.execute(a)
+		}
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,7 +3,11 @@
 import (
 	"time"
 
+	"github.com/dandelionvane/dandelionvane/internal/control"
+
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/mesh"
+	"github.com/dandelionvane/dandelionvane/internal/published"
 )
 
 // Settings is what one gateway process is told at its start.
@@ -53,3 +57,35 @@
 	CacheRetention  time.Duration // for which a part of a prompt is worth finding again
 	MaxForwardDelay time.Duration // of an event of a stream in this process
 }
+
+// revokeMargin is what is left of the time in which a revoked key must be refused: the
+// store may answer a change's writer before it shows the change to all readers.
+const revokeMargin = time.Second
+
+// loadMargin is the part of the highest load's multiple that is used: what is known of
+// other processes' requests is late.
+const loadMargin = 0.75
+
+// member is how other processes know this one.
+func (s *Settings) member() mesh.Member {
+	return mesh.Member{ID: s.Instance, DataCentre: s.DataCentre, Addr: s.Peers.Addr}
+}
+
+// control returns the options of the control state.
+func (s *Settings) control(seed uint64, p published.Protocol) control.Options {
+	b := &s.Bounds
+	return control.Options{
+		Self:         s.member(),
+		Seed:         seed,
+		Seeds:        len(newSeedClient(*s).addrs),
+		Protocol:     p,
+		StrictRevoke: b.StrictRevoke,
+		BeliefLimit:  b.RevokeInForce - revokeMargin,
+		LoadMultiple: max(loadMargin*b.LoadMultiple, 1),
+		ColdMultiple: b.ColdMultiple,
+		ColdExtra:    b.ColdExtra,
+		RetryRatio:   b.RetryRatio,
+		RetryExtra:   b.RetryExtra,
+		RetryWindow:  b.RetryWindow,
+	}
+}
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -18,75 +17,150 @@
 // maxDocumentBytes bounds an answer that is no stream.
 const maxDocumentBytes = 8 << 20
 
-func isStream(a *exchange.Answer) bool {
-	return strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+// answer is what the caller has of its answer.
+type answer struct {
+	started   bool // the head was sent
+	status    int
+	events    int
+	lastEvent string // id of the last event that the caller has from this process
+	lastID    uint64 // the same as a number
+	held      *document
+
+	callerGone bool // a write to the caller failed
+}
+
+// document is a whole answer that is no stream.
+type document struct {
+	status int
+	header http.Header
+	body   []byte
 }
 
-// document passes an answer on when it is whole.
-func (c *call) document(ctx context.Context, p control.Placement, a *exchange.Answer) verdict {
-	if c.started {
-		c.ended(p, control.Broken)
-		return mayHave
+func isStream(x *exchange.Answer) bool {
+	return x.Status == http.StatusOK && strings.HasPrefix(x.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// document passes an answer on when it is whole. The failure of an endpoint is held back
+// while another endpoint may still do better.
+func (a *attempt) document(x *exchange.Answer) bool {
+	if a.answer.started {
+		a.err = errors.Errorf("a stream goes on with an answer of status %d", x.Status)
+		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxDocumentBytes+1))
-	if err != nil || len(body) > maxDocumentBytes {
-		if ctx.Err() != nil {
-			c.ended(p, control.Cancelled)
-			return mayHave
-		}
-		c.ended(p, control.Broken)
-		return mayHave
+	body, err := io.ReadAll(io.LimitReader(x.Body, maxDocumentBytes+1))
+	if err == nil && len(body) > maxDocumentBytes {
+		err = errors.New("the answer is too large")
+	}
+	if err != nil {
+		a.err = err
+		return false
+	}
+	d := &document{status: x.Status, header: x.Header, body: body}
+	if x.Status >= http.StatusInternalServerError {
+		a.result = control.Failed
+		a.answer.held = d
+		return false
+	}
+	a.result = control.Answered
+	a.write(d)
+	return true
+}
+
+// writeHeld passes on the failure of an endpoint after which no other one helped.
+func (c *call) writeHeld() {
+	c.write(c.answer.held)
+	c.finished()
+}
+
+func (c *call) write(d *document) {
+	c.copyHead(d.header)
+	c.answer.started, c.answer.status = true, d.status
+	if c.r.Method != http.MethodHead {
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(d.body)))
 	}
-	c.ended(p, control.Answered)
-	c.copyHead(a)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	c.w.WriteHeader(a.Status)
-	_, _ = c.w.Write(body)
-	return done
+	c.w.WriteHeader(d.status)
+	// The caller may have left; its connection ends then.
+	_, _ = c.w.Write(d.body)
 }
 
-func (c *call) copyHead(a *exchange.Answer) {
+func (c *call) copyHead(from http.Header) {
 	h := c.w.Header()
-	for name, values := range a.Header {
+	for name, values := range from {
 		if upstream.IsEndToEnd(name) {
 			h[name] = values
 		}
 	}
 }
 
-// stream passes the events of an answer on as they arrive, whole ones only.
-func (c *call) stream(ctx context.Context, p control.Placement, a *exchange.Answer) verdict {
-	rc := http.NewResponseController(c.w)
-	r := sse.NewReader(a.Body)
+// stream passes the events of an answer on as they arrive, whole ones in their order
+// only. It returns whether the stream came to its end.
+func (a *attempt) stream(x *exchange.Answer) bool {
+	r := sse.NewReader(x.Body)
 	for {
 		ev, err := r.Next()
-		if errors.Is(err, io.EOF) {
-			c.ended(p, control.Answered)
-			return done
+		if errors.Is(err, io.EOF) && a.hasAll() {
+			a.result = control.Answered
+			a.begin(x)
+			return true
 		}
 		if err != nil {
-			return c.streamBroke(ctx, p)
-		}
-		if !c.started {
-			c.copyHead(a)
-			c.w.WriteHeader(a.Status)
-			c.started = true
+			a.err = err
+			return false
 		}
-		if len(ev.ID) > 0 {
-			c.lastEvent = string(ev.ID)
+		if err := a.follows(ev.ID); err != nil {
+			a.err = err
+			return false
 		}
-		if _, err := c.w.Write(ev.Raw); err != nil || rc.Flush() != nil {
-			c.ended(p, control.Cancelled)
-			panic(http.ErrAbortHandler)
+		a.watch.progress(a.admission.Route.MaxPause)
+		if !a.pass(x, &ev) {
+			return false
 		}
 	}
 }
 
-func (c *call) streamBroke(ctx context.Context, p control.Placement) verdict {
-	if ctx.Err() != nil {
-		c.ended(p, control.Cancelled)
-	} else {
-		c.ended(p, control.Broken)
+// hasAll tells whether a stream may end here: one that begins has an event at least, one
+// that is resumed may have none left.
+func (a *attempt) hasAll() bool { return a.answer.events > 0 || a.head.AfterEvent != "" }
+
+// follows checks that an event is the next one of the stream.
+func (a *attempt) follows(id []byte) error {
+	n, err := strconv.ParseUint(string(id), 10, 64)
+	if err != nil {
+		return errors.Errorf("an event has the id %q", id)
+	}
+	last := a.answer.lastID
+	if a.answer.lastEvent == "" {
+		last, _ = strconv.ParseUint(a.head.AfterEvent, 10, 64) // absent: the stream begins with 1
+	}
+	if n != last+1 {
+		return errors.Errorf("event %d follows event %d", n, last)
+	}
+	return nil
+}
+
+// begin sends the head of a stream, once. A stream that goes on at another endpoint keeps
+// the head of its first one.
+func (a *attempt) begin(x *exchange.Answer) {
+	if a.answer.started {
+		return
+	}
+	a.copyHead(x.Header)
+	a.w.WriteHeader(x.Status)
+	a.answer.started, a.answer.status = true, x.Status
+	a.s.meter.began(a.call)
+}
+
+func (a *attempt) pass(x *exchange.Answer, ev *sse.Event) bool {
+	a.begin(x)
+	a.answer.events++
+	a.answer.lastEvent = string(ev.ID)
+	a.answer.lastID, _ = strconv.ParseUint(a.answer.lastEvent, 10, 64) // checked by follows
+	_, err := a.w.Write(ev.Raw)
+	if err == nil {
+		err = http.NewResponseController(a.w).Flush()
+	}
+	if err != nil {
+		a.err, a.result, a.answer.callerGone = err, control.Cancelled, true
 	}
-	return mayHave
+	return err == nil
 }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -10,36 +10,55 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
-	"github.com/dandelionvane/dandelionvane/internal/exchange"
+	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
-	"github.com/dandelionvane/dandelionvane/internal/upstream"
 )
 
-// maxSends bounds the endpoints that one request is offered to, those that refused it
-// included.
-const maxSends = 4
-
 // defaultTimeLimit bounds a request for which neither the caller nor its route names a time.
 const defaultTimeLimit = time.Minute
 
+// defaultBodyLimit bounds a body where the published limits name none, in bytes.
+const defaultBodyLimit = 4 << 20
+
 // call is one request of a caller.
 type call struct {
 	s       *Server
 	w       http.ResponseWriter
 	r       *http.Request
-	head    Head
 	arrived time.Time
 
+	head      Head
+	affinity  uint64
 	admission control.Admission
 	body      []byte
 	deadline  time.Time
 	tried     []fleet.EndpointID
-	ran       int  // endpoints at which it may have run
-	started   bool // the head of an answer was sent to the caller
-	lastEvent string
+	attempts  attempts
+	answer    answer
 }
 
 func (c *call) serve() {
+	head, err := c.s.dialect.ReadHead(c.r.Header)
+	c.head = head
+	if err != nil {
+		c.reject(http.StatusBadRequest, err.Error())
+		return
+	}
+	c.affinity = affinity(head.Prompt)
+	c.admit()
+	if c.admission.Reason != control.ReasonNone {
+		c.refuse(c.admission.Reason, c.admission.RetryAfter)
+		return
+	}
+	if !c.readBody() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	c.run(ctx)
+}
+
+func (c *call) admit() {
 	c.s.control.Do(func(st *control.State, now boottime.Instant) {
 		c.admission = st.Admit(now, control.Arrival{
 			ID:       c.head.ID,
@@ -47,27 +66,23 @@
 			Path:     c.r.URL.Path,
 			Key:      c.head.Key,
 			Patience: c.head.Patience,
-			Affinity: affinity(c.head.Prompt),
+			Affinity: c.affinity,
 		})
 	})
-	if c.admission.Reason != control.ReasonNone {
-		c.refuse(c.admission.Reason, c.admission.RetryAfter)
-		return
-	}
-	limit := c.admission.TimeLimit
+	ad := &c.admission
+	limit := ad.TimeLimit
 	if limit <= 0 {
 		limit = defaultTimeLimit
 	}
 	c.deadline = c.arrived.Add(limit)
-	if !c.readBody() {
-		return
+	if ad.Reason == control.ReasonNone {
+		event.Record(event.RequestAdmitted, "request", c.head.ID, "route", ad.Route.Name, "kind", ad.Route.Kind, "service", ad.Service,
+			"workspace", ad.Workspace, "urgency", ad.Urgency, "limit_ms", limit.Milliseconds(), "revision", ad.Revision, "age_ms", ad.Age.Milliseconds())
 	}
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
-	defer cancel()
-	c.run(ctx)
 }
 
-// affinity hashes the shared parts of a prompt: all but the last one.
+// affinity hashes the last shared part of a prompt and its place: the last part of all
+// belongs to the request or its session.
 func affinity(prompt []PromptPart) uint64 {
 	if len(prompt) == 0 {
 		return 0
@@ -78,14 +93,12 @@
 
 // readBody reads the request whole. It returns false after it has answered.
 func (c *call) readBody() bool {
-	var limit int64 = 4 << 20
-	c.s.control.Do(func(st *control.State, _ boottime.Instant) {
-		if n := st.Limits().BodyBytes; n > 0 {
-			limit = n
-		}
-	})
+	limit := c.admission.BodyLimit
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
 	if c.r.ContentLength > limit {
-		c.s.reject(c.w, http.StatusRequestEntityTooLarge, "the body is larger than allowed")
+		c.reject(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
 		return false
 	}
 	rc := http.NewResponseController(c.w)
@@ -95,174 +108,79 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		c.s.reject(c.w, http.StatusRequestEntityTooLarge, "the body is larger than allowed")
+		c.reject(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
+		return false
+	case err != nil && !time.Now().Before(c.deadline):
+		c.reject(http.StatusRequestTimeout, "the body did not arrive in time")
 		return false
 	case err != nil:
-		c.s.reject(c.w, http.StatusBadRequest, "the body cannot be read")
+		c.reject(http.StatusBadRequest, "the body cannot be read")
 		return false
 	}
 	c.body = body
 	return true
 }
 
-// refuse answers a request that has not run.
-func (c *call) refuse(reason control.Reason, after time.Duration) {
-	switch reason {
-	case control.ReasonNoRoute:
-		c.s.reject(c.w, http.StatusNotFound, "no such route")
-	case control.ReasonUnauthenticated:
-		c.s.reject(c.w, http.StatusUnauthorized, "unknown key")
-	default:
-		c.s.dialect.WriteRetryAfter(c.w.Header(), after)
-		c.s.reject(c.w, http.StatusServiceUnavailable, reason.String())
-	}
-}
-
-// verdict is what one attempt leaves to do.
-type verdict uint8
-
-const (
-	done    verdict = iota + 1 // the caller has its answer
-	notRun                     // the endpoint did not run the request
-	mayHave                    // the request may have run
-	broken                     // a stream broke after its head was sent
-)
-
+// run offers the request to endpoints, one after the other, until it has an answer or
+// must not be offered again.
 func (c *call) run(ctx context.Context) {
-	for len(c.tried) < maxSends {
+	for {
 		p := c.place()
 		if p.Reason != control.ReasonNone {
 			c.giveUp(p.Reason, p.RetryAfter)
 			return
 		}
-		v := c.attempt(ctx, p)
-		switch {
-		case v == done:
+		o := c.attempt(ctx, p.Ticket)
+		c.attempts.add(o)
+		if o.whole {
+			c.finished()
 			return
-		case ctx.Err() != nil:
-			c.timeOver()
+		}
+		if c.over(ctx) {
 			return
-		case v == notRun:
-			continue
-		case !c.mayRepeat():
-			c.unknown()
+		}
+		if reason := c.again(); reason != control.ReasonNone {
+			c.giveUp(reason, retryAfterFailure)
 			return
 		}
 	}
-	c.giveUp(control.ReasonNoEndpoint, retryAfterRefusals)
-}
-
-// retryAfterRefusals is when a caller should return whose request several endpoints
-// refused: queues of endpoints empty within it.
-const retryAfterRefusals = 300 * time.Millisecond
-
-func (c *call) mayRepeat() bool {
-	c.ran++
-	return c.admission.Route.Repeatable() && c.ran < c.admission.Route.MaxAttempts
 }
 
-func (c *call) place() (p control.Placement) {
-	c.s.control.Do(func(st *control.State, now boottime.Instant) {
-		p = st.Place(now, c.admission.Service, affinity(c.head.Prompt), c.tried)
-	})
-	return p
-}
-
-func (c *call) ended(p control.Placement, r control.Result) {
-	c.s.control.Do(func(st *control.State, now boottime.Instant) { st.Ended(now, p.Endpoint, r) })
-}
-
-// giveUp answers when no further endpoint is tried.
-func (c *call) giveUp(reason control.Reason, after time.Duration) {
-	switch {
-	case c.started:
+// over ends a request whose caller has left or whose time has passed.
+func (c *call) over(ctx context.Context) bool {
+	if c.r.Context().Err() != nil || c.answer.callerGone {
+		event.Record(event.CallerLeft, "request", c.head.ID, "after_ms", c.elapsed(), "attempts", c.attempts.sends)
+		c.s.meter.ended(c, "caller_left")
 		panic(http.ErrAbortHandler)
-	case c.ran > 0:
-		c.s.reject(c.w, http.StatusBadGateway, "the request may have run")
-	default:
-		c.refuse(reason, after)
 	}
-}
-
-func (c *call) unknown() {
-	if c.started {
-		panic(http.ErrAbortHandler)
-	}
-	c.s.reject(c.w, http.StatusBadGateway, "the request may have run")
-}
-
-// timeOver ends a request whose time is over or whose caller has left.
-func (c *call) timeOver() {
-	if c.started || c.r.Context().Err() != nil {
-		panic(http.ErrAbortHandler)
+	if ctx.Err() == nil {
+		return false
 	}
-	c.s.reject(c.w, http.StatusGatewayTimeout, "the time for the answer is over")
+	c.timeOver()
+	return true
 }
 
-// attempt offers the request to one endpoint.
-func (c *call) attempt(ctx context.Context, p control.Placement) verdict {
-	c.tried = append(c.tried, p.Endpoint)
-	a, err := c.s.client.Do(ctx, p.Addr, c.request(p))
-	if err != nil {
-		return c.failed(ctx, p, err)
+// again asks whether the request may be offered to another endpoint.
+func (c *call) again() control.Reason {
+	if r := c.attempts.mayRepeat(c.admission.Route); r != control.ReasonNone {
+		return r
 	}
-	defer a.Close()
-	reply := c.s.dialect.ReadReply(a.Status, a.Header)
-	switch {
-	case reply.Misplaced && reply.Endpoint != p.Endpoint:
-		c.ended(p, control.Misplaced)
-		return notRun
-	case reply.NotRun:
-		c.ended(p, control.Full)
-		return notRun
-	case reply.RequestID != "" && reply.RequestID != c.head.ID:
-		c.ended(p, control.Broken)
-		return mayHave
-	case a.Status < 300 && !reply.Signed:
-		c.ended(p, control.Broken)
-		return mayHave
-	}
-	if isStream(a) && a.Status == http.StatusOK {
-		return c.stream(ctx, p, a)
-	}
-	return c.document(ctx, p, a)
-}
-
-func (c *call) failed(ctx context.Context, p control.Placement, err error) verdict {
-	var xe *exchange.Error
-	switch {
-	case ctx.Err() != nil:
-		c.ended(p, control.Cancelled)
-	case errors.As(err, &xe) && xe.Connect:
-		c.ended(p, control.Unreachable)
-	default:
-		c.ended(p, control.Broken)
+	allowed := true
+	if c.attempts.reached {
+		c.s.control.Do(func(st *control.State, now boottime.Instant) { allowed = st.Retry(now, c.admission.Service) })
 	}
-	if errors.As(err, &xe) && !xe.Sent {
-		return notRun
+	if !allowed {
+		return control.ReasonRetryBudget
 	}
-	return mayHave
+	event.Record(event.AttemptRetried, "request", c.head.ID, "sends", c.attempts.sends, "may_have_run", c.attempts.ran, "left_ms", time.Until(c.deadline).Milliseconds())
+	return control.ReasonNone
 }
 
-func (c *call) request(p control.Placement) *exchange.Request {
-	h := http.Header{}
-	for name, values := range c.r.Header {
-		if upstream.IsEndToEnd(name) {
-			h[name] = values
-		}
-	}
-	c.s.dialect.WriteForward(h, Forward{
-		Expect:     p.Endpoint,
-		Workspace:  c.admission.Workspace,
-		TimeLeft:   time.Until(c.deadline),
-		Urgency:    c.admission.Urgency,
-		AfterEvent: c.lastEvent,
+func (c *call) place() (p control.Placement) {
+	c.s.control.Do(func(st *control.State, now boottime.Instant) {
+		p = st.Place(now, control.Want{Service: c.admission.Service, Affinity: c.affinity, Tried: c.tried})
 	})
-	return &exchange.Request{
-		Method: c.r.Method,
-		Target: c.r.URL.RequestURI(),
-		Host:   c.r.Host,
-		Header: h,
-		Body:   c.body,
-	}
+	return p
 }
+
+func (c *call) elapsed() int64 { return time.Since(c.arrived).Milliseconds() }
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -31,6 +31,7 @@
 	Workspace  fleet.WorkspaceID
 	TimeLeft   time.Duration // 0: no limit
 	Urgency    int           // 0 is the most urgent, -1: not told
+	FetchAt    string        // address of an endpoint that may hold more of the prompt, "" for none
 	AfterEvent string        // continue the stream after this event, "" from its start
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -10,10 +10,6 @@
 	"github.com/dandelionvane/dandelionvane/internal/exchange"
 )
 
-// connectTimeout bounds the opening of a connection to an endpoint: many times the
-// round trip between data centres of a region.
-const connectTimeout = 250 * time.Millisecond
-
 // Control runs a function on the goroutine that owns the control state and returns
 // when it has run.
 type Control interface {
@@ -25,12 +21,13 @@
 	control  Control
 	dialect  Dialect
 	client   *exchange.Client
+	meter    *Meter
 	stopping atomic.Bool
 }
 
 // New returns a server.
-func New(c Control, d Dialect) *Server {
-	return &Server{control: c, dialect: d, client: exchange.NewClient(connectTimeout)}
+func New(c Control, d Dialect, x *exchange.Client, m *Meter) *Server {
+	return &Server{control: c, dialect: d, client: x, meter: m}
 }
 
 // Stop makes the server ask callers to leave their connections.
@@ -50,16 +47,6 @@
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	head, err := s.dialect.ReadHead(r.Header)
-	if err != nil {
-		s.reject(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	c := &call{s: s, w: w, r: r, head: head, arrived: time.Now()}
+	c := &call{s: s, w: w, r: r, arrived: time.Now()}
 	c.serve()
 }
-
-// reject ends a request that is not to be sent again.
-func (s *Server) reject(w http.ResponseWriter, status int, why string) {
-	http.Error(w, why, status)
-}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,311 @@
+package mesh
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/wire"
+)
+
+const (
+	// minPeriod is the least time between two Status messages to one peer. An engine of a
+	// service with the target's load gets one or two requests in it.
+	minPeriod = 120 * time.Millisecond
+	// periodPerPeer bounds what a gateway of a large fleet sends to 67 messages a second:
+	// 5 KB of Status messages of 75 bytes.
+	periodPerPeer = 15 * time.Millisecond
+	// quietPeriod is the time between two Status messages to one peer that say nothing new.
+	quietPeriod = 500 * time.Millisecond
+	// silentPeriods is after how many quiet periods without a word a peer counts as down.
+	silentPeriods = 4
+	// retryDown is the time between two Status messages to a peer that is down.
+	retryDown = time.Second
+	// forgetAfter is for how long a peer that is down counts among those that may still
+	// send to endpoints, and is tried again.
+	forgetAfter = time.Minute
+)
+
+// Member is one gateway of the fleet.
+type Member struct {
+	ID         fleet.InstanceID   `json:"id"`
+	DataCentre fleet.DataCentreID `json:"data_centre"`
+	Addr       string             `json:"peer_addr"` // UDP IP:port
+}
+
+// Outgoing is a message for a peer.
+type Outgoing struct {
+	To      fleet.InstanceID
+	Addr    string
+	Message wire.Message
+}
+
+// Local is what this gateway tells its peers.
+type Local struct {
+	Revision  fleet.Revision
+	Confirmed boottime.Instant // zero: never
+	Stopping  bool
+	InFlight  []wire.InFlight
+	Down      []wire.Down
+	Version   uint64 // rises when one of the fields above changes, but for Confirmed
+}
+
+type peer struct {
+	Member
+	known    boottime.Instant // when it was learned or last heard
+	heard    boottime.Instant // zero: never
+	status   wire.Status      // the last one
+	sent     boottime.Instant
+	sentWhat uint64 // Version of what was sent
+
+	incarnation fleet.Incarnation // a random number of its process
+	former      fleet.Incarnation // of the process before
+}
+
+// State is the membership and the last Status of each member. See the package comment.
+type State struct {
+	self  Member
+	start boottime.Instant
+	base  uint64 // stamp at the start: no stamp of an earlier process lies after it
+	peers map[fleet.InstanceID]*peer
+	order []*peer // sorted by ID
+}
+
+// stampBits bounds the random first stamp of a process. Two processes of a gateway that
+// follow each other draw overlapping stamps with a chance of a minute in 2^stampBits ms.
+const stampBits = 48
+
+// New returns the state of a gateway that knows nobody. The seed must differ between
+// the processes of one gateway that follow each other.
+func New(now boottime.Instant, self Member, seed uint64) *State {
+	return &State{self: self, start: now, base: 1 + seed>>(64-stampBits), peers: map[fleet.InstanceID]*peer{}}
+}
+
+// stamp returns the time on this gateway's clock as peers echo it.
+func (s *State) stamp(now boottime.Instant) uint64 {
+	return s.base + uint64(now.Sub(s.start)/time.Millisecond)
+}
+
+// Learn adds members that are not known yet.
+func (s *State) Learn(now boottime.Instant, members []Member) {
+	for _, m := range members {
+		if m.ID == s.self.ID || m.ID == "" || m.Addr == "" {
+			continue
+		}
+		p := s.peers[m.ID]
+		if p == nil {
+			s.add(&peer{Member: m, known: now})
+			continue
+		}
+		if p.Addr != m.Addr {
+			p.Member = m
+		}
+	}
+}
+
+func (s *State) add(p *peer) {
+	s.peers[p.ID] = p
+	s.order = append(s.order, p)
+	slices.SortFunc(s.order, func(a, b *peer) int { return strings.Compare(string(a.ID), string(b.ID)) })
+}
+
+// Addr returns the address of a member, "" if it is not known.
+func (s *State) Addr(id fleet.InstanceID) string {
+	if p := s.peers[id]; p != nil {
+		return p.Addr
+	}
+	return ""
+}
+
+// Members returns all known members, this gateway among them.
+func (s *State) Members() []Member {
+	ms := []Member{s.self}
+	for _, p := range s.order {
+		ms = append(ms, p.Member)
+	}
+	return ms
+}
+
+// Receive takes a peer's Status. It returns false for a sender that is no known member:
+// the caller has to ask a seed who it is.
+func (s *State) Receive(now boottime.Instant, from fleet.InstanceID, inc fleet.Incarnation, m wire.Status) bool {
+	p := s.peers[from]
+	if p == nil {
+		return false
+	}
+	if inc == p.former || inc == p.incarnation && m.Stamp < p.status.Stamp {
+		return true // overtaken by a later one
+	}
+	if inc != p.incarnation {
+		p.former, p.incarnation = p.incarnation, inc
+	}
+	p.status = m
+	p.heard = now
+	p.known = now
+	return true
+}
+
+// Confirmed returns the time, on this gateway's clock, by which a peer knew everything
+// that its Status claims to know, and whether the Status allows to tell.
+func (s *State) Confirmed(now boottime.Instant, m wire.Status) (boottime.Instant, bool) {
+	if !m.Current || m.Echo < s.base || m.Echo > s.stamp(now) {
+		return 0, false
+	}
+	knew := s.start.Add(milliseconds(m.Echo-s.base) + milliseconds(m.EchoAgeMs))
+	if now.Before(knew) {
+		return 0, false
+	}
+	return knew.Add(-milliseconds(m.AgeMs)), true
+}
+
+// maxMilliseconds bounds the durations that a message may carry.
+const maxMilliseconds = 1 << 40
+
+func milliseconds(n uint64) time.Duration {
+	return time.Duration(min(n, maxMilliseconds)) * time.Millisecond
+}
+
+// period is the least time between two Status messages to one peer.
+func (s *State) period() time.Duration {
+	return max(minPeriod, time.Duration(len(s.peers))*periodPerPeer)
+}
+
+// silence is the time without a word after which a peer counts as down.
+func (s *State) silence() time.Duration { return silentPeriods * s.quietPeriod() }
+
+// quietPeriod is the time between two Status messages that say nothing new.
+func (s *State) quietPeriod() time.Duration { return max(quietPeriod, s.period()) }
+
+// Period is the time within which peers hear what this gateway has to tell.
+func (s *State) Period() time.Duration { return s.period() }
+
+// Tick returns the Status messages that are due.
+func (s *State) Tick(now boottime.Instant, l Local) []Outgoing {
+	s.forget(now)
+	var out []Outgoing
+	for _, p := range s.order {
+		if now.Sub(p.sent) < s.pause(now, p, l) {
+			continue
+		}
+		p.sent = now
+		p.sentWhat = l.Version
+		out = append(out, Outgoing{To: p.ID, Addr: p.Addr, Message: s.status(now, p, l)})
+	}
+	return out
+}
+
+// Urgent returns a Status for each live peer, whatever was sent to it before.
+func (s *State) Urgent(now boottime.Instant, l Local) []Outgoing {
+	var out []Outgoing
+	for _, p := range s.order {
+		if !s.live(now, p) {
+			continue
+		}
+		p.sent = now
+		p.sentWhat = l.Version
+		out = append(out, Outgoing{To: p.ID, Addr: p.Addr, Message: s.status(now, p, l)})
+	}
+	return out
+}
+
+func (s *State) pause(now boottime.Instant, p *peer, l Local) time.Duration {
+	switch {
+	case p.sent == 0:
+		return 0
+	case !s.live(now, p):
+		return retryDown
+	case p.sentWhat != l.Version:
+		return s.period()
+	default:
+		return s.quietPeriod()
+	}
+}
+
+func (s *State) status(now boottime.Instant, p *peer, l Local) wire.Status {
+	m := wire.Status{
+		Stamp:    s.stamp(now),
+		Revision: l.Revision,
+		Stopping: l.Stopping,
+		InFlight: l.InFlight,
+		Down:     l.Down,
+	}
+	if p.heard != 0 {
+		m.Echo = p.status.Stamp
+		m.EchoAgeMs = uint64(now.Sub(p.heard) / time.Millisecond)
+	}
+	if l.Confirmed != 0 {
+		m.Current = true
+		m.AgeMs = uint64(now.Sub(l.Confirmed)/time.Millisecond) + 1
+	}
+	return m
+}
+
+func (s *State) forget(now boottime.Instant) {
+	s.order = slices.DeleteFunc(s.order, func(p *peer) bool {
+		if now.Sub(p.known) <= forgetAfter {
+			return false
+		}
+		delete(s.peers, p.ID)
+		return true
+	})
+}
+
+func (s *State) live(now boottime.Instant, p *peer) bool {
+	return p.heard != 0 && now.Sub(p.heard) <= s.silence()
+}
+
+// Size returns how many gateways may send to endpoints: this one and all that were
+// known within the last minute.
+func (s *State) Size() int { return 1 + len(s.order) }
+
+// Live returns how many peers are heard.
+func (s *State) Live(now boottime.Instant) int {
+	n := 0
+	for _, p := range s.order {
+		if s.live(now, p) {
+			n++
+		}
+	}
+	return n
+}
+
+// InFlight adds up what live peers have at endpoints, by the low bits of their hashes.
+func (s *State) InFlight(now boottime.Instant) map[uint32]int {
+	sum := map[uint32]int{}
+	for _, p := range s.order {
+		if !s.live(now, p) {
+			continue
+		}
+		for _, f := range p.status.InFlight {
+			sum[f.Endpoint] += int(f.Requests)
+		}
+	}
+	return sum
+}
+
+// Rank returns the place of this gateway among the live ones, in an order that all of
+// them share: 0 for the first. Gateways that stop come last.
+func (s *State) Rank(now boottime.Instant, key uint64) int {
+	own := fleet.Weight(key, fleet.Hash(string(s.self.ID)))
+	rank := 0
+	for _, p := range s.order {
+		if s.live(now, p) && !p.status.Stopping && fleet.Weight(key, fleet.Hash(string(p.ID))) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// KnownRank is Rank among all known gateways, live or not.
+func (s *State) KnownRank(key uint64) int {
+	own := fleet.Weight(key, fleet.Hash(string(s.self.ID)))
+	rank := 0
+	for _, p := range s.order {
+		if fleet.Weight(key, fleet.Hash(string(p.ID))) > own {
+			rank++
+		}
+	}
+	return rank
+}
--- a/internal/published/client.go
+++ b/internal/published/client.go
@@ -9,9 +9,15 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 )
 
+const (
+	connectTimeout = 300 * time.Millisecond // the store is in the same region
+	callTimeout    = time.Second            // of a call beyond the wait that it asks for
+)
+
 // maxAnswerBytes bounds one answer: a value of a megabyte in base64 with some others.
 const maxAnswerBytes = 8 << 20
 
@@ -48,6 +54,25 @@
 	}
 }
 
+// Update is what one successful read brought.
+type Update struct {
+	Revision  fleet.Revision   // of the store
+	Confirmed boottime.Instant // when the call was sent: what was published by then is not missing
+	Whole     bool             // Items hold everything there is
+	Items     []Item
+}
+
+// Read reads all items, or what changed after a revision.
+func (c *Client) Read(ctx context.Context, whole bool, after fleet.Revision) (Update, error) {
+	sent := boottime.Now()
+	read := func() (Page, error) { return c.Changes(ctx, after, 0) }
+	if whole {
+		read = func() (Page, error) { return c.List(ctx) }
+	}
+	p, err := read()
+	return Update{Revision: p.Revision, Confirmed: sent, Whole: whole, Items: p.Items}, err
+}
+
 // List returns all items and the store's revision before the first was read, so that
 // changes after it bring up to date what changed between two pages.
 func (c *Client) List(ctx context.Context) (Page, error) {
--- /dev/null
+++ b/internal/published/publishedtest/protocol.go
@@ -0,0 +1,114 @@
+package publishedtest
+
+import (
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/published"
+	"github.com/dandelionvane/dandelionvane/internal/routing"
+)
+
+// Keys of the stand-in.
+const (
+	configKey      = "config"
+	endpointPrefix = "endpoint/"
+	outPrefix      = "out/"
+)
+
+// Protocol speaks with a Store.
+type Protocol struct{}
+
+// ListPath implements published.Protocol.
+func (Protocol) ListPath(after string) string {
+	return "/list?" + url.Values{"after": {after}}.Encode()
+}
+
+// ChangesPath implements published.Protocol.
+func (Protocol) ChangesPath(after fleet.Revision, wait time.Duration) string {
+	return "/changes?" + url.Values{
+		"after": {strconv.FormatUint(uint64(after), 10)},
+		"wait":  {wait.String()},
+	}.Encode()
+}
+
+// DecodeList implements published.Protocol.
+func (Protocol) DecodeList(body []byte) (published.Page, error) { return decodePage(body) }
+
+// DecodeChanges implements published.Protocol.
+func (Protocol) DecodeChanges(body []byte) (published.Page, error) { return decodePage(body) }
+
+func decodePage(body []byte) (published.Page, error) {
+	var p published.Page
+	err := json.Unmarshal(body, &p)
+	return p, errors.Wrap(err, "publishedtest: page")
+}
+
+// DecodeItem implements published.Protocol.
+func (Protocol) DecodeItem(it published.Item) (published.Record, error) {
+	if it.Key == configKey {
+		c := &routing.Config{}
+		if err := json.Unmarshal(it.Value, c); err != nil {
+			return nil, errors.Wrap(err, it.Key)
+		}
+		return published.Config{Config: c}, nil
+	}
+	if dc, ok := strings.CutPrefix(it.Key, outPrefix); ok {
+		return published.Evacuation{DataCentre: fleet.DataCentreID(dc), Lifted: it.Deleted}, nil
+	}
+	if id, ok := strings.CutPrefix(it.Key, endpointPrefix); ok {
+		return decodeEndpoint(fleet.EndpointID(id), it)
+	}
+	return nil, nil
+}
+
+func decodeEndpoint(id fleet.EndpointID, it published.Item) (published.Record, error) {
+	if it.Deleted {
+		return published.EndpointGone{ID: id}, nil
+	}
+	var e entry
+	if err := json.Unmarshal(it.Value, &e); err != nil || e.ID != id {
+		return published.EndpointGone{ID: id}, errors.Errorf("%s: %q", it.Key, it.Value)
+	}
+	return published.Endpoint{Endpoint: e.Endpoint}, nil
+}
+
+// entry is what an endpoint writes; the heartbeat means nothing.
+type entry struct {
+	fleet.Endpoint
+	Heartbeat int
+}
+
+// Config returns the item of a configuration.
+func Config(c *routing.Config) published.Item { return item(configKey, c) }
+
+// Endpoint returns the item of an endpoint's n-th heartbeat.
+func Endpoint(e fleet.Endpoint, n int) published.Item {
+	return item(endpointPrefix+string(e.ID), entry{Endpoint: e, Heartbeat: n})
+}
+
+// EndpointGone returns the deletion of an endpoint's entry.
+func EndpointGone(id fleet.EndpointID) published.Item {
+	return published.Item{Key: endpointPrefix + string(id), Deleted: true}
+}
+
+// Out returns the item that takes a data centre out of service.
+func Out(dc fleet.DataCentreID) published.Item { return item(outPrefix+string(dc), true) }
+
+// Back returns the deletion of that item.
+func Back(dc fleet.DataCentreID) published.Item {
+	return published.Item{Key: outPrefix + string(dc), Deleted: true}
+}
+
+func item(key string, v any) published.Item {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("publishedtest: " + err.Error())
+	}
+	return published.Item{Key: key, Value: b}
+}
--- /dev/null
+++ b/internal/retry/window.go
@@ -0,0 +1,67 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+)
+
+// windowSlots is how many parts a Window is counted in. A part is dropped as a whole,
+// so that the counted span is the window and up to one part more.
+const windowSlots = 20
+
+// Window bounds the retries of one router for one service in any span of a length: a
+// share of the requests in the span, plus a constant. When every router of a fleet uses
+// its part of the constant, the fleet keeps the bound of the whole.
+type Window struct {
+	length time.Duration
+	slots  [windowSlots + 1]slot
+}
+
+type slot struct {
+	number   int64 // of the part since the clock's zero
+	requests int
+	retries  int
+}
+
+// NewWindow returns the budget of a span of a length.
+func NewWindow(length time.Duration) *Window { return &Window{length: length} }
+
+// Request counts the first attempt of a request.
+func (w *Window) Request(now boottime.Instant) { w.slot(now).requests++ }
+
+// Retry counts a retry if the budget of ratio times the requests plus extra allows it.
+func (w *Window) Retry(now boottime.Instant, ratio, extra float64) bool {
+	s := w.slot(now)
+	requests, retries := w.Counts(now)
+	if float64(retries+1) > ratio*float64(requests)+extra {
+		return false
+	}
+	s.retries++
+	return true
+}
+
+// Counts returns the requests and retries in the span up to now.
+func (w *Window) Counts(now boottime.Instant) (requests, retries int) {
+	oldest := w.number(now) - windowSlots
+	for i := range w.slots {
+		if s := &w.slots[i]; s.number >= oldest {
+			requests += s.requests
+			retries += s.retries
+		}
+	}
+	return requests, retries
+}
+
+func (w *Window) number(now boottime.Instant) int64 {
+	return int64(now) / int64(w.length/windowSlots)
+}
+
+func (w *Window) slot(now boottime.Instant) *slot {
+	n := w.number(now)
+	s := &w.slots[n%int64(len(w.slots))]
+	if s.number != n {
+		*s = slot{number: n}
+	}
+	return s
+}
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -38,12 +38,15 @@
 	return &Reader{r: bufio.NewReaderSize(r, readBufferBytes)}
 }
 
-// Next returns the next event that is complete. An event that the stream's end
-// cuts off is not returned.
+// Next returns the next event that is complete. It returns io.EOF at the stream's end,
+// and io.ErrUnexpectedEOF when the end cuts an event off.
 func (r *Reader) Next() (Event, error) {
 	r.reset()
 	for {
 		line, err := r.readLine()
+		if errors.Is(err, io.EOF) && r.size > 0 {
+			return Event{}, io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return Event{}, err
 		}
--- a/internal/sse/reader_test.go
+++ b/internal/sse/reader_test.go
@@ -22,11 +22,15 @@
 		r := NewReader(iotest.OneByteReader(bytes.NewReader(text)))
 		got, err := r.Next()
 		if err != nil || !bytes.Equal(got.Data, bytes.TrimLeft(in.Data, "\n")) ||
-			!bytes.Equal(got.ID, in.ID) || !bytes.Equal(got.Name, in.Name) {
+			!bytes.Equal(got.ID, in.ID) || !bytes.Equal(got.Name, in.Name) || !bytes.Equal(got.Raw, text) {
 			t.Fatalf("%q gave %q, %v", text, got, err)
 		}
 		cut := rapid.IntRange(0, len(text)-1).Draw(t, "cut")
-		if got, err := NewReader(bytes.NewReader(text[:cut])).Next(); !errors.Is(err, io.EOF) {
+		want := io.ErrUnexpectedEOF
+		if cut == 0 {
+			want = io.EOF
+		}
+		if got, err := NewReader(bytes.NewReader(text[:cut])).Next(); !errors.Is(err, want) {
 			t.Fatalf("%q cut at %d gave %q, %v", text, cut, got, err)
 		}
 	})
--- /dev/null
+++ b/internal/wire/gateway.go
@@ -0,0 +1,71 @@
+package wire
+
+import "github.com/dandelionvane/dandelionvane/internal/fleet"
+
+// InFlight is how many requests one gateway has at an endpoint.
+type InFlight struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint uint32   // low bits of fleet.Hash of the endpoint's id
+	Requests uint16
+}
+
+// Down says that a gateway could not reach an endpoint.
+type Down struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint uint32   // low bits of fleet.Hash of the endpoint's id
+	AgeMs    uint32   // since the failure
+	Silent   bool     // nothing came back, not even a refusal
+}
+
+// Status is a gateway's heartbeat to another one.
+//
+// Stamp and Echo let the receiver bound the age of what the sender knows without
+// comparing clocks: whatever the sender knew EchoAgeMs after it received the stamp
+// Echo, it knew later than the receiver's own clock showed Echo plus EchoAgeMs.
+type Status struct {
+	_         struct{} `cbor:",toarray"`
+	Stamp     uint64   // sender's clock, ms
+	Echo      uint64   // last stamp that the sender received from the receiver, 0: none
+	EchoAgeMs uint64   // since it received that stamp
+	Revision  fleet.Revision
+	Current   bool   // Revision was confirmed at some time
+	AgeMs     uint64 // since the sending of the read of the store that last confirmed it
+	Stopping  bool
+	InFlight  []InFlight
+	Down      []Down
+}
+
+// ItemsPull asks for what the platform's store published after a revision.
+type ItemsPull struct {
+	_        struct{} `cbor:",toarray"`
+	After    fleet.Revision
+	MaxBytes uint64 // more than that is not wanted
+}
+
+// Item is one key of the platform's store.
+type Item struct {
+	_        struct{} `cbor:",toarray"`
+	Key      string
+	Value    []byte
+	Revision fleet.Revision
+	Deleted  bool
+}
+
+// Items answers an ItemsPull.
+type Items struct {
+	_        struct{}       `cbor:",toarray"`
+	Revision fleet.Revision // up to which nothing is missing
+	Whole    bool           // Items hold everything there is, not only changes
+	After    fleet.Revision // of the pull
+	TooLarge bool           // there is more than was wanted, and Items are left out
+	Items    []Item
+}
+
+// Kind implements Message.
+func (Status) Kind() Kind { return KindStatus }
+
+// Kind implements Message.
+func (ItemsPull) Kind() Kind { return KindItemsPull }
+
+// Kind implements Message.
+func (Items) Kind() Kind { return KindItems }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -27,6 +27,9 @@
 	KindTransfer
 	KindSettleAck
 	KindLeaseHandover
+	KindStatus
+	KindItemsPull
+	KindItems
 )
 
 // Header precedes every message and lets the receiver notice that it is behind.
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -21,6 +21,9 @@
 	KindTransfer:      "transfer",
 	KindSettleAck:     "settle_ack",
 	KindLeaseHandover: "lease_handover",
+	KindStatus:        "status",
+	KindItemsPull:     "items_pull",
+	KindItems:         "items",
 }
 
 // String returns the kind's stable name in metrics and dumps.
