--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
@@ -24,6 +26,7 @@
 
 Runs a gateway with the settings file that the platform names in the environment
 variable ` + platform.SettingsVariable + `, until SIGTERM or SIGINT, which begin a planned stop.
+The file is read again when it changes, at the latest two seconds later, and on SIGHUP.
 `
 }
 
@@ -39,16 +42,23 @@
 
 func (c *gatewayCommand) run(ctx context.Context) error {
 	event.LogTo(c.env.Stdout)
-	path := os.Getenv(platform.SettingsVariable)
-	text, err := os.ReadFile(path)
+	defer klog.Flush()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	return gateway.Run(ctx, gateway.Options{
+		Load:     loadSettings,
+		Reload:   reload,
+		Protocol: platform.Store{},
+		Dialect:  platform.Headers{},
+	})
+}
+
+// loadSettings reads the settings file that the environment names.
+func loadSettings() (gateway.Settings, []error) {
+	text, err := os.ReadFile(os.Getenv(platform.SettingsVariable))
 	if err != nil {
-		return errors.Wrapf(err, "settings file of %s", platform.SettingsVariable)
+		return gateway.Settings{}, []error{errors.Wrapf(err, "settings file of %s", platform.SettingsVariable)}
 	}
-	s, faults := platform.ParseSettings(string(text))
-	for _, fault := range faults {
-		event.Record(event.SettingsFault, "file", path, "err", fault.Error())
-	}
-	event.Record(event.SettingsRead, "file", path, "instance", s.Instance, "data_centre", s.DataCentre, "store", s.Store.Addr)
-	defer klog.Flush()
-	return gateway.Run(ctx, gateway.Options{Settings: s, Protocol: platform.Store{}, Dialect: platform.Headers{}})
+	return platform.ParseSettings(string(text))
 }
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -62,16 +62,17 @@
 
 // Admission is the answer to an Arrival. With a Reason the request is not served.
 type Admission struct {
-	Reason     Reason
-	RetryAfter time.Duration
-	Route      *routing.Route
-	Service    fleet.ServiceID
-	Workspace  fleet.WorkspaceID
-	Urgency    int // 0 is the most urgent
-	TimeLimit  time.Duration
-	BodyLimit  int64          // bytes
-	Revision   fleet.Revision // of the belief that decided
-	Age        time.Duration  // of that belief
+	Reason      Reason
+	RetryAfter  time.Duration
+	Route       *routing.Route
+	Service     fleet.ServiceID
+	Workspace   fleet.WorkspaceID
+	Urgency     int // 0 is the most urgent
+	TimeLimit   time.Duration
+	HeaderLimit int            // bytes, 0: none
+	BodyLimit   int64          // bytes, 0: none
+	Revision    fleet.Revision // of the belief that decided
+	Age         time.Duration  // of that belief
 }
 
 // comeBackLater is when a caller refused for a lack of knowledge should return: the
@@ -84,7 +85,7 @@
 	if s.table == nil {
 		return ad.refuse(ReasonNoConfig)
 	}
-	ad.BodyLimit = s.table.Config().Limits.BodyBytes
+	ad.HeaderLimit, ad.BodyLimit = s.table.Config().Limits.HeaderBytes, s.table.Config().Limits.BodyBytes
 	ad.Route = s.table.Route(a.Host, a.Path)
 	if ad.Route == nil {
 		if !s.current(now) {
--- a/internal/control/belief.go
+++ b/internal/control/belief.go
@@ -45,7 +45,10 @@
 
 // current tells whether the configuration is recent enough to accept keys by it.
 func (s *State) current(now boottime.Instant) bool {
-	return !s.opts.StrictRevoke || s.Age(now) <= s.opts.BeliefLimit
+	if !s.opts.StrictRevoke || !s.table.HasWorkspaces() {
+		return true
+	}
+	return s.Age(now) <= s.opts.BeliefLimit
 }
 
 // apply adopts an update of the store's items.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// Configure replaces the options that may change while the process runs: all but Self,
+// Seed and Protocol.
+func (s *State) Configure(o Options) {
+	o.Self, o.Seed, o.Protocol = s.opts.Self, s.opts.Seed, s.opts.Protocol
+	s.opts = o
+}
+
 // Tick lets time pass.
 func (s *State) Tick(now boottime.Instant) {
 	s.tickReader(now)
--- /dev/null
+++ b/internal/controltest/request.go
@@ -0,0 +1,116 @@
+package controltest
+
+import (
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+)
+
+// Endpoint is a fake endpoint. It runs every request at once and for Takes.
+type Endpoint struct {
+	fleet.Endpoint
+	Takes    time.Duration
+	Down     bool // its port refuses connections
+	Dark     bool // it does not answer
+	InFlight int
+	Arrivals []boottime.Instant
+}
+
+// Request is one request of a caller.
+type Request struct {
+	Host     string
+	Path     string
+	Key      string
+	Affinity uint64
+}
+
+// Outcome is what became of a request.
+type Outcome struct {
+	Reason   control.Reason // why it was not placed
+	Endpoint *Endpoint      // where it ran last, nil: nowhere
+	Sends    int
+	At       boottime.Instant
+}
+
+// maxSends bounds the endpoints that one request is sent to.
+const maxSends = 4
+
+// Send sends a request to a gateway. It ends at once if the gateway refuses it, else when
+// its endpoint has answered it.
+func (n *Node) Send(r Request, done func(Outcome)) {
+	w := n.World
+	n.do(func() {
+		ad := n.State.Admit(w.now, control.Arrival{Host: r.Host, Path: r.Path, Key: r.Key, Affinity: r.Affinity})
+		if ad.Reason != control.ReasonNone {
+			done(Outcome{Reason: ad.Reason, At: w.now})
+			return
+		}
+		n.place(control.Want{Service: ad.Service, Affinity: r.Affinity}, 1, done)
+	})
+}
+
+func (n *Node) place(want control.Want, send int, done func(Outcome)) {
+	w, process := n.World, n.incarnation
+	p := n.State.Place(w.now, want)
+	if p.Reason != control.ReasonNone || send > maxSends {
+		done(Outcome{Reason: p.Reason, Sends: send - 1, At: w.now})
+		return
+	}
+	want.Tried = append(want.Tried, p.Ticket.Endpoint)
+	e := w.Endpoints[p.Ticket.Endpoint]
+	again := func(d time.Duration, r control.Result) {
+		w.After(d, func() {
+			if n.incarnation != process {
+				return
+			}
+			n.do(func() {
+				n.State.Ended(w.now, p.Ticket, r)
+				n.place(want, send+1, done)
+			})
+		})
+	}
+	switch {
+	case e.Dark || w.cut(string(n.ID), string(e.ID)):
+		again(probeTimeout, control.Silent)
+	case e.Down:
+		again(2*hop, control.Refused)
+	default:
+		w.After(hop, func() { n.runAt(e, p.Ticket, send, done) })
+	}
+}
+
+func (n *Node) runAt(e *Endpoint, t *control.Ticket, send int, done func(Outcome)) {
+	w, process := n.World, n.incarnation
+	e.Arrivals = append(e.Arrivals, w.now)
+	e.InFlight++
+	w.After(e.Takes, func() {
+		e.InFlight--
+		done(Outcome{Endpoint: e, Sends: send, At: w.now})
+		w.After(hop, func() {
+			if n.incarnation == process {
+				n.do(func() { n.State.Ended(w.now, t, control.Answered) })
+			}
+		})
+	})
+}
+
+// MostArrivals returns the highest number of arrivals in any span of a length that
+// begins at or after a time.
+func (e *Endpoint) MostArrivals(from boottime.Instant, span time.Duration) int {
+	most := 0
+	for i, at := range e.Arrivals {
+		if at < from {
+			continue
+		}
+		n := 0
+		for _, later := range e.Arrivals[i:] {
+			if later.Sub(at) < span {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
--- a/internal/event/limiter.go
+++ b/internal/event/limiter.go
@@ -11,6 +11,10 @@
 const (
 	linesPerSecond = 20
 	lineBurst      = 200
+	// A request has a line of each kind for each attempt; the target's gateway has 30
+	// requests a second on its worst days.
+	requestLinesPerSecond = 200
+	requestLineBurst      = 400
 )
 
 // limiter bounds the lines of each kind of event. Its memory is bounded by the
@@ -37,7 +41,7 @@
 	}
 	k := l.kinds[n]
 	if k == nil {
-		k = &kind{bucket: rate.NewLimiter(linesPerSecond, lineBurst)}
+		k = &kind{bucket: newBucket(n)}
 		l.kinds[n] = k
 	}
 	if !k.bucket.AllowN(now, 1) {
@@ -47,3 +51,13 @@
 	suppressed, k.suppressed = k.suppressed, 0
 	return suppressed, true
 }
+
+func newBucket(n Number) *rate.Limiter {
+	if n.aboutRequests() {
+		return rate.NewLimiter(requestLinesPerSecond, requestLineBurst)
+	}
+	return rate.NewLimiter(linesPerSecond, lineBurst)
+}
+
+// aboutRequests tells whether an event is one of the 5xx.
+func (n Number) aboutRequests() bool { return n >= 500 && n < 600 }
--- a/internal/event/limiter_test.go
+++ b/internal/event/limiter_test.go
@@ -12,29 +12,42 @@
 	const flood = 5 * lineBurst
 	written := 0
 	for range flood {
-		if _, ok := l.admit(RequestRefused, now); ok {
+		if _, ok := l.admit(PeerSuspected, now); ok {
 			written++
 		}
 	}
 	if written != lineBurst {
 		t.Errorf("%d lines of a flood, want %d", written, lineBurst)
 	}
-	if _, ok := l.admit(RequestUnknown, now); !ok {
+	if _, ok := l.admit(PeerRecovered, now); !ok {
 		t.Error("a flood of one kind suppresses another")
 	}
 	now = now.Add(time.Second / linesPerSecond)
 	for _, want := range []int{flood - lineBurst, 0} {
-		if suppressed, ok := l.admit(RequestRefused, now); !ok || suppressed != want {
+		if suppressed, ok := l.admit(PeerSuspected, now); !ok || suppressed != want {
 			t.Errorf("suppressed %d, admitted %t, want %d", suppressed, ok, want)
 		}
 		now = now.Add(time.Second)
 	}
-	d, _ := Lookup(RequestRefused)
+	d, _ := Lookup(PeerSuspected)
 	if line := format(d, "x", 7); !strings.HasSuffix(line, `detail="x" suppressed=7`) {
 		t.Errorf("line %q", line)
 	}
 }
 
+func TestRequestsHaveMoreLines(t *testing.T) {
+	l := newLimiter()
+	written := 0
+	for range 5 * requestLineBurst {
+		if _, ok := l.admit(RequestRefused, time.Unix(0, 0)); ok {
+			written++
+		}
+	}
+	if written != requestLineBurst {
+		t.Errorf("%d lines of a flood, want %d", written, requestLineBurst)
+	}
+}
+
 func TestUndefinedNumbersTakeNoMemory(t *testing.T) {
 	l := newLimiter()
 	for n := range Number(100) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,7 +7,9 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -24,58 +26,65 @@
 	"github.com/dandelionvane/dandelionvane/internal/published"
 )
 
-// Options is what a process needs beside its settings.
+// Options is what a process needs.
 type Options struct {
-	Settings Settings
+	Load     func() (Settings, []error) // reads the settings; they are valid only without errors
+	Reload   <-chan os.Signal           // asks to read them again; may be nil
 	Protocol published.Protocol
 	Dialect  ingress.Dialect
 }
 
 // process is one running gateway.
 type process struct {
-	opts    Options
-	loop    *loop
-	ctx     context.Context // ends with the process
-	wg      sync.WaitGroup
-	metrics *metrics.Registry
-	client  *exchange.Client
-	store   *published.Client
-	reads   chan control.ReadStore
-	peers   *peering.Transport
-	seeds   *seedClient
-	server  *ingress.Server
-	callers *http.Server
-	failed  chan error
+	opts     Options
+	settings Settings // as of the start; what a reload changes is in the fields below
+	loop     *loop
+	ctx      context.Context // ends with the process
+	wg       sync.WaitGroup
+	metrics  *metrics.Registry
+	client   *exchange.Client
+	store    atomic.Pointer[published.Client]
+	reads    chan control.ReadStore
+	peers    *peering.Transport
+	seeds    atomic.Pointer[seedClient]
+	server   *ingress.Server
+	callers  *http.Server
+	failed   chan error
 
 	incarnation fleet.Incarnation // random, new for each process
 }
 
 // Run runs a gateway until ctx ends and its planned stop is complete.
 func Run(ctx context.Context, o Options) error {
+	settings, err := firstSettings(o.Load)
+	if err != nil {
+		return err
+	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	p := &process{
-		opts:    o,
-		ctx:     work,
-		metrics: metrics.New(),
-		client:  exchange.NewClient(connectTimeout),
-		store:   published.NewClient(o.Settings.Store.Addr, o.Protocol),
-		reads:   make(chan control.ReadStore, 1),
-		seeds:   newSeedClient(o.Settings),
-		failed:  make(chan error, 4),
+		opts:     o,
+		settings: settings,
+		ctx:      work,
+		metrics:  metrics.New(),
+		client:   exchange.NewClient(connectTimeout),
+		reads:    make(chan control.ReadStore, 1),
+		failed:   make(chan error, 4),
 	}
 	defer p.metrics.Close()
+	p.store.Store(published.NewClient(settings.Store.Addr, o.Protocol))
+	p.seeds.Store(newSeedClient(settings))
 	seed := randomSeed()
-	p.loop = newLoop(control.New(boottime.Now(), o.Settings.control(seed, o.Protocol)), p.execute)
+	p.loop = newLoop(control.New(boottime.Now(), settings.control(seed, o.Protocol)), p.execute)
 	p.server = ingress.New(p.loop, o.Dialect, p.client, ingress.NewMeter(p.metrics.Scope()))
 	if err := p.listenPeers(seed); err != nil {
 		return err
 	}
-	err := p.run(ctx)
+	err = p.run(ctx)
 	cancel()
 	_ = p.peers.Close()
 	p.wg.Wait()
-	p.store.Close()
+	p.store.Load().Close()
 	return err
 }
 
@@ -84,11 +93,13 @@
 const connectTimeout = 150 * time.Millisecond
 
 func (p *process) run(ctx context.Context) error {
-	s := &p.opts.Settings
+	s := &p.settings
 	event.Record(event.ProcessStarted, "instance", s.Instance, "data_centre", s.DataCentre, "callers", s.Listen.Callers, "peers", s.Peers.Addr)
 	p.wg.Go(func() { p.loop.run(p.ctx) })
 	p.wg.Go(p.readStore)
-	p.callers = &http.Server{Handler: p.server, ReadHeaderTimeout: headerTimeout}
+	p.wg.Go(p.watchSettings)
+	p.wg.Go(p.closeIdle)
+	p.callers = &http.Server{Handler: p.server, ReadHeaderTimeout: headerTimeout, ConnState: p.server.TrackConn}
 	for addr, srv := range map[string]*http.Server{
 		s.Listen.Callers:  p.callers,
 		s.Listen.Balancer: {Handler: p.balancerHandler(), ReadHeaderTimeout: headerTimeout},
@@ -101,8 +112,25 @@
 	return p.wait(ctx)
 }
 
-// headerTimeout bounds the receipt of a request's header.
-const headerTimeout = 5 * time.Second
+// headerTimeout bounds the receipt of a request's header: some times what deployments
+// allow their callers.
+const headerTimeout = 10 * time.Second
+
+// idlePeriod is the time between two looks for idle connections of callers.
+const idlePeriod = time.Second
+
+func (p *process) closeIdle() {
+	ticker := time.NewTicker(idlePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			p.server.CloseIdle()
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
 
 func (p *process) balancerHandler() http.Handler {
 	r := chi.NewRouter()
@@ -151,7 +179,7 @@
 	for {
 		select {
 		case r := <-p.reads:
-			u, err := p.store.Read(p.ctx, r.Whole, r.After)
+			u, err := p.store.Load().Read(p.ctx, r.Whole, r.After)
 			p.loop.Do(func(s *control.State, now boottime.Instant) {
 				if err != nil {
 					s.ReadFailed(now, err)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,7 +25,7 @@
 
 // listenPeers starts the exchange with other gateways.
 func (p *process) listenPeers(incarnation uint64) error {
-	s := &p.opts.Settings
+	s := &p.settings
 	conf, err := keys.Ephemeral(string(s.Instance))
 	if err != nil {
 		return err
--- a/internal/gateway/seeds.go
+++ b/internal/gateway/seeds.go
@@ -68,9 +68,10 @@
 
 // askSeeds asks all seeds at once and hands on each answer as it comes.
 func (p *process) askSeeds() {
-	for _, addr := range p.seeds.addrs {
+	seeds := p.seeds.Load()
+	for _, addr := range seeds.addrs {
 		p.wg.Go(func() {
-			members, err := p.seeds.ask(p.ctx, addr)
+			members, err := seeds.ask(p.ctx, addr)
 			if err != nil {
 				event.Record(event.SeedUnreachable, "addr", addr, "err", err.Error())
 				return
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/dandelionvane/dandelionvane/internal/control"
 
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
@@ -58,6 +60,20 @@
 	MaxForwardDelay time.Duration // of an event of a stream in this process
 }
 
+// check returns an error if a process cannot run with the settings.
+func (s *Settings) check() error {
+	for name, value := range map[string]string{
+		"instance": string(s.Instance), "data centre": string(s.DataCentre), "address for callers": s.Listen.Callers,
+		"address for the balancer": s.Listen.Balancer, "address for control": s.Listen.Control,
+		"address for peers": s.Peers.Addr, "address of the store": s.Store.Addr,
+	} {
+		if value == "" {
+			return errors.Errorf("gateway: the settings have no %s", name)
+		}
+	}
+	return nil
+}
+
 // revokeMargin is what is left of the time in which a revoked key must be refused: the
 // store may answer a change's writer before it shows the change to all readers.
 const revokeMargin = time.Second
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -50,7 +50,7 @@
 		c.refuse(c.admission.Reason, c.admission.RetryAfter)
 		return
 	}
-	if !c.readBody() {
+	if c.headerTooLarge() || !c.readBody() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
@@ -91,6 +91,22 @@
 	return fleet.Weight(shared[len(shared)-1].ID, uint64(len(shared)))
 }
 
+// headerTooLarge tells whether the request's header breaks the published limit, after it
+// has answered that.
+func (c *call) headerTooLarge() bool {
+	limit, size := c.admission.HeaderLimit, len(c.r.RequestURI)
+	for name, values := range c.r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	if limit <= 0 || size <= limit {
+		return false
+	}
+	c.reject(http.StatusRequestHeaderFieldsTooLarge, "the header is larger than allowed")
+	return true
+}
+
 // readBody reads the request whole. It returns false after it has answered.
 func (c *call) readBody() bool {
 	limit := c.admission.BodyLimit
--- /dev/null
+++ b/internal/ingress/fake_test.go
@@ -0,0 +1,257 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/exchange"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/mesh"
+	"github.com/dandelionvane/dandelionvane/internal/metrics"
+	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
+	"github.com/dandelionvane/dandelionvane/internal/routing"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// testDialect uses headers of its own.
+type testDialect struct{}
+
+func (testDialect) ReadHead(h http.Header) (Head, error) {
+	head := Head{ID: fleet.RequestID(h.Get("X-Id")), Key: h.Get("X-Key"), AfterEvent: h.Get("X-After")}
+	if head.ID == "" {
+		return head, errors.New("X-Id is missing")
+	}
+	if ms, err := strconv.Atoi(h.Get("X-Wait-Ms")); err == nil {
+		head.Patience = time.Duration(ms) * time.Millisecond
+	}
+	return head, nil
+}
+
+func (testDialect) WriteForward(h http.Header, f Forward) {
+	h.Del("X-Key")
+	h.Set("X-Expect", string(f.Expect))
+	h.Set("X-Workspace", string(f.Workspace))
+	h.Set("X-Left-Ms", strconv.FormatInt(f.TimeLeft.Milliseconds(), 10))
+	if f.AfterEvent != "" {
+		h.Set("X-After", f.AfterEvent)
+	}
+}
+
+func (testDialect) ReadReply(status int, h http.Header) Reply {
+	return Reply{
+		RequestID: fleet.RequestID(h.Get("X-Id")),
+		Endpoint:  fleet.EndpointID(h.Get("X-Endpoint")),
+		NotRun:    h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		Misplaced: status == http.StatusMisdirectedRequest,
+		Signed:    h.Get("X-Signed") != "",
+	}
+}
+
+func (testDialect) WriteRetryAfter(h http.Header, d time.Duration) {
+	h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+}
+
+func (testDialect) ReadyPath() string { return "/ready" }
+
+// lockedControl owns a control state behind a mutex.
+type lockedControl struct {
+	mu sync.Mutex
+	s  *control.State
+}
+
+// Do implements Control.
+func (c *lockedControl) Do(f func(*control.State, boottime.Instant)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c.s, boottime.Now())
+	c.s.Drain()
+}
+
+// script answers one request on its connection. It gets the request's number among all
+// that reached endpoints, counted from one.
+type script func(n int, conn net.Conn, r *http.Request)
+
+// bed is a server before scripted endpoints.
+type bed struct {
+	t         *testing.T
+	url       string
+	server    *Server
+	mu        sync.Mutex
+	requests  []*http.Request
+	bodies    []string
+	endpoints []string // that the requests reached
+}
+
+// start runs a server before two endpoints that share a script.
+func start(t *testing.T, s script) *bed {
+	b := &bed{t: t}
+	store := publishedtest.NewStore()
+	store.Write(publishedtest.Config(testConfig()))
+	for i := range 2 {
+		id := fmt.Sprintf("e%d", i)
+		addr := b.listen(id, s)
+		store.Write(publishedtest.Endpoint(fleet.Endpoint{ID: fleet.EndpointID(id), Addr: addr, Service: "s"}, 0))
+	}
+	st := control.New(boottime.Now(), control.Options{
+		Self: mesh.Member{ID: "a-1", DataCentre: "a"}, Protocol: publishedtest.Protocol{}, BeliefLimit: time.Hour,
+		LoadMultiple: 2, RetryRatio: 1, RetryExtra: 100, RetryWindow: 10 * time.Second,
+	})
+	st.Tick(boottime.Now())
+	u := store.Update(true, 0)
+	u.Confirmed = boottime.Now()
+	st.ReadDone(boottime.Now(), u)
+	reg := metrics.New()
+	t.Cleanup(func() { _ = reg.Close() })
+	b.server = New(&lockedControl{s: st}, testDialect{}, exchange.NewClient(time.Second), NewMeter(reg.Scope()))
+	srv := httptest.NewUnstartedServer(b.server)
+	srv.Config.ConnState = b.server.TrackConn
+	srv.Start()
+	t.Cleanup(srv.Close)
+	b.url = srv.URL
+	return b
+}
+
+func testConfig() *routing.Config {
+	route := func(name string, kind routing.Kind, attempts int) routing.Route {
+		return routing.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, Timeout: 5 * time.Second,
+			Targets: []routing.Target{{Service: "s", Weight: 1}}, GoalLatency: time.Second, MaxPause: time.Second,
+		}
+	}
+	resumable := route("resumable", routing.Streaming, 2)
+	resumable.Resumable = true
+	return &routing.Config{
+		Routes: []routing.Route{
+			route("once", routing.NonIdempotent, 2), route("often", routing.Idempotent, 2), route("stream", routing.Streaming, 2), resumable,
+		},
+		Services:   []routing.Service{{ID: "s"}},
+		Workspaces: []routing.Workspace{{ID: "ws", Keys: []string{"key"}}},
+		Limits:     routing.Limits{BodyBytes: 1000, HeaderBytes: 2000, IdleTimeout: time.Hour},
+	}
+}
+
+// listen starts a scripted endpoint.
+func (b *bed) listen(id string, s script) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	b.t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+	})
+	wg.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { b.answer(id, conn, s) })
+		}
+	})
+	return l.Addr().String()
+}
+
+func (b *bed) answer(id string, conn net.Conn, s script) {
+	defer conn.Close()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	b.mu.Lock()
+	b.requests = append(b.requests, r)
+	b.bodies = append(b.bodies, string(body))
+	b.endpoints = append(b.endpoints, id)
+	n := len(b.requests)
+	b.mu.Unlock()
+	s(n, conn, r)
+}
+
+// got is what a caller got.
+type got struct {
+	status int
+	header http.Header
+	body   string
+	leave  bool  // the server closes the connection
+	err    error // of the body's end
+}
+
+// send sends a request to a route.
+func (b *bed) send(method, route, body string, headers ...string) got {
+	r, err := http.NewRequest(method, b.url+"/"+route+"/x?q=1", strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("X-Id", "id-1")
+	r.Header.Set("X-Key", "key")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	tr := &http.Transport{}
+	defer tr.CloseIdleConnections()
+	resp, err := tr.RoundTrip(r)
+	if err != nil {
+		return got{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return got{status: resp.StatusCode, header: resp.Header, body: string(text), leave: resp.Close, err: err}
+}
+
+// signed writes the head of an answer.
+func signed(conn net.Conn, status int, lines ...string) {
+	fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nX-Signed: 1\r\nX-Id: id-1\r\n%s\r\n\r\n", status, strings.Join(lines, "\r\n"))
+}
+
+func whole(conn net.Conn, body string) {
+	signed(conn, 200, "Content-Length: "+strconv.Itoa(len(body)))
+	_, _ = io.WriteString(conn, body)
+}
+
+func chunk(conn net.Conn, text string) { fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text) }
+
+func eventText(n int) string { return fmt.Sprintf("id: %d\ndata: piece-%d\n\n", n, n) }
+
+func streamHead(conn net.Conn) {
+	signed(conn, 200, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+}
+
+func events(conn net.Conn, from, to int) {
+	for n := from; n <= to; n++ {
+		chunk(conn, eventText(n))
+	}
+}
+
+func end(conn net.Conn) { _, _ = io.WriteString(conn, "0\r\n\r\n") }
+
+func text(from, to int) string {
+	out := ""
+	for n := from; n <= to; n++ {
+		out += eventText(n)
+	}
+	return out
+}
+
+// reset closes a connection so that its peer sees a reset.
+func reset(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
--- /dev/null
+++ b/internal/ingress/idle.go
@@ -0,0 +1,50 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// idleMargin is added to the published limit, so that a caller that reuses a connection
+// just in time does not meet its end.
+const idleMargin = time.Second
+
+// idleConns knows which connections of callers wait for their next request. The limit on
+// that wait is published and may change at any time, which net/http has no way for.
+type idleConns struct {
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+// track implements http.Server.ConnState.
+func (i *idleConns) track(c net.Conn, s http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if s != http.StateIdle {
+		delete(i.since, c)
+		return
+	}
+	if i.since == nil {
+		i.since = map[net.Conn]time.Time{}
+	}
+	i.since[c] = time.Now()
+}
+
+// closeOlder closes the connections that have been idle for longer than a limit and
+// returns how many.
+func (i *idleConns) closeOlder(limit time.Duration) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	n := 0
+	for c, since := range i.since {
+		if time.Since(since) <= limit+idleMargin {
+			continue
+		}
+		delete(i.since, c)
+		_ = c.Close() // the caller may have closed it already
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,369 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestAnswers plays what endpoints do and checks what the caller gets and how often the
+// request arrived at endpoints.
+func TestAnswers(t *testing.T) {
+	second := func(first func(conn net.Conn)) script {
+		return func(n int, conn net.Conn, _ *http.Request) {
+			if n == 1 {
+				first(conn)
+				return
+			}
+			whole(conn, "good")
+		}
+	}
+	torn := func(conn net.Conn) {
+		signed(conn, 200, "Content-Length: 100")
+		_, _ = io.WriteString(conn, "part")
+	}
+	refusal := func(conn net.Conn) { signed(conn, 503, "X-Not-Run: 1", "Content-Length: 0") }
+	for _, tc := range []struct {
+		name     string
+		route    string
+		script   script
+		status   int
+		body     string // "": any
+		arrivals int
+	}{
+		{"whole", "once", second(func(c net.Conn) { whole(c, "good") }), 200, "good", 1},
+		{"extra bytes after the answer", "once", second(func(c net.Conn) {
+			whole(c, "good")
+			whole(c, "of another request")
+		}), 200, "good", 1},
+		{"no length, clean end", "once", second(func(c net.Conn) {
+			signed(c, 200, "Connection: close")
+			_, _ = io.WriteString(c, "good")
+		}), 200, "good", 1},
+		{"no length, reset", "once", second(func(c net.Conn) {
+			signed(c, 200, "Connection: close")
+			_, _ = io.WriteString(c, "part")
+			reset(c)
+		}), 502, "", 1},
+		{"torn, may run often", "often", second(torn), 200, "good", 2},
+		{"torn, runs once", "once", second(torn), 502, "", 1},
+		{"reset, may run often", "often", second(reset), 200, "good", 2},
+		{"reset, runs once", "once", second(reset), 502, "", 1},
+		{"no HTTP", "once", second(func(c net.Conn) { _, _ = io.WriteString(c, "\x00garbage\r\n\r\n") }), 502, "", 1},
+		{"not signed", "once", second(func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+		}), 502, "", 1},
+		{"answer to another request", "once", second(func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nno")
+		}), 502, "", 1},
+		{"refused once", "once", second(refusal), 200, "good", 2},
+		{"refused everywhere", "once", func(_ int, c net.Conn, _ *http.Request) { refusal(c) }, 503, "", 2},
+		{"another endpoint has the address", "once", second(func(c net.Conn) {
+			signed(c, 421, "X-Endpoint: stranger", "Content-Length: 0")
+		}), 200, "good", 2},
+		{"failed, may run often", "often", second(func(c net.Conn) { signed(c, 500, "Content-Length: 0") }), 200, "good", 2},
+		{"failed, runs once", "once", second(func(c net.Conn) {
+			signed(c, 500, "Content-Length: 4")
+			_, _ = io.WriteString(c, "oops")
+		}), 500, "oops", 1},
+		{"failed everywhere", "often", func(n int, c net.Conn, _ *http.Request) {
+			signed(c, 500+n, "Content-Length: 4")
+			_, _ = io.WriteString(c, "oops")
+		}, 502, "oops", 2},
+		{"early answer to a long body", "once", second(func(c net.Conn) { signed(c, 400, "Content-Length: 0") }), 400, "", 1},
+		{"interim answer", "once", second(func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n")
+			whole(c, "good")
+		}), 200, "good", 1},
+		{"stream", "stream", func(_ int, c net.Conn, _ *http.Request) {
+			streamHead(c)
+			events(c, 1, 3)
+			end(c)
+		}, 200, text(1, 3), 1},
+		{"stream goes on elsewhere", "resumable", func(n int, c net.Conn, r *http.Request) {
+			streamHead(c)
+			if n == 1 {
+				events(c, 1, 3)
+				chunk(c, "id: 4\nda")
+				reset(c)
+				return
+			}
+			if r.Header.Get("X-After") != "3" {
+				c.Close()
+			}
+			events(c, 4, 6)
+			end(c)
+		}, 200, text(1, 6), 2},
+		{"stream resumed by its caller is resumed once more", "resumable", func(n int, c net.Conn, _ *http.Request) {
+			streamHead(c)
+			if n == 1 {
+				events(c, 1, 1)
+				reset(c)
+				return
+			}
+			events(c, 2, 2)
+			end(c)
+		}, 200, text(1, 2), 2},
+		{"stream without its first event", "resumable", func(n int, c net.Conn, _ *http.Request) {
+			streamHead(c)
+			events(c, 3-n, 2)
+			end(c)
+		}, 200, text(1, 2), 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := start(t, tc.script)
+			g := b.send("POST", tc.route, "body")
+			if g.status != tc.status || g.err != nil || tc.body != "" && g.body != tc.body {
+				t.Errorf("got %d %q, %v", g.status, g.body, g.err)
+			}
+			if n := len(b.requests); n != tc.arrivals {
+				t.Errorf("%d arrivals, want %d", n, tc.arrivals)
+			}
+			if again := g.header.Get("Retry-After"); (again != "") != (tc.status == 503) {
+				t.Errorf("Retry-After %q with status %d", again, g.status)
+			}
+		})
+	}
+}
+
+// TestStreamsThatAreNotWhole must not look whole to the caller.
+func TestStreamsThatAreNotWhole(t *testing.T) {
+	for name, tc := range map[string]struct {
+		script script
+		body   string
+	}{
+		"reset": {func(_ int, c net.Conn, _ *http.Request) {
+			streamHead(c)
+			events(c, 1, 2)
+			reset(c)
+		}, text(1, 2)},
+		"end inside an event": {func(_ int, c net.Conn, _ *http.Request) {
+			streamHead(c)
+			events(c, 1, 2)
+			chunk(c, "id: 3\ndata: pie")
+			end(c)
+		}, text(1, 2)},
+		"a missing event": {func(_ int, c net.Conn, _ *http.Request) {
+			streamHead(c)
+			events(c, 1, 2)
+			events(c, 4, 4)
+			end(c)
+		}, text(1, 2)},
+		"an event twice": {func(_ int, c net.Conn, _ *http.Request) {
+			streamHead(c)
+			events(c, 1, 2)
+			events(c, 2, 3)
+			end(c)
+		}, text(1, 2)},
+		"no end": {func(_ int, c net.Conn, _ *http.Request) {
+			streamHead(c)
+			events(c, 1, 2)
+		}, text(1, 2)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := start(t, tc.script)
+			if g := b.send("POST", "stream", ""); g.err == nil || g.body != tc.body {
+				t.Errorf("got %q, %v", g.body, g.err)
+			}
+			if len(b.requests) != 1 {
+				t.Errorf("%d arrivals", len(b.requests))
+			}
+		})
+	}
+}
+
+// TestEventsAreNotHeldBack: an event reaches the caller before the next one exists.
+func TestEventsAreNotHeldBack(t *testing.T) {
+	seen := make(chan struct{})
+	b := start(t, func(_ int, c net.Conn, _ *http.Request) {
+		streamHead(c)
+		for n := 1; n <= 3; n++ {
+			events(c, n, n)
+			<-seen
+		}
+		end(c)
+	})
+	r, _ := http.NewRequest("POST", b.url+"/stream/x", nil)
+	r.Host = "h"
+	r.Header.Set("X-Id", "id-1")
+	r.Header.Set("X-Key", "key")
+	tr := &http.Transport{}
+	defer tr.CloseIdleConnections()
+	resp, err := tr.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	buf := make([]byte, len(eventText(1)))
+	for n := 1; n <= 3; n++ {
+		if _, err := io.ReadFull(resp.Body, buf); err != nil || string(buf) != eventText(n) {
+			t.Fatalf("event %d: %q, %v", n, buf, err)
+		}
+		seen <- struct{}{}
+	}
+}
+
+// TestWhatIsForwarded checks the request as the endpoint gets it.
+func TestWhatIsForwarded(t *testing.T) {
+	b := start(t, func(_ int, c net.Conn, _ *http.Request) { whole(c, "good") })
+	b.send("PUT", "often", "body", "X-Other", "kept", "X-Expect", "forged", "X-Workspace", "forged", "Connection", "X-Hop", "X-Hop", "1", "X-Wait-Ms", "2000")
+	r := b.requests[0]
+	if r.Method != "PUT" || r.RequestURI != "/often/x?q=1" || r.Host != "h" || b.bodies[0] != "body" {
+		t.Errorf("%s %s at %s with %q", r.Method, r.RequestURI, r.Host, b.bodies[0])
+	}
+	for name, want := range map[string]string{
+		"X-Id": "id-1", "X-Other": "kept", "X-Expect": b.endpoints[0], "X-Workspace": "ws", "X-Key": "", "User-Agent": "Go-http-client/1.1",
+	} {
+		if got := r.Header.Get(name); got != want {
+			t.Errorf("%s is %q, want %q", name, got, want)
+		}
+	}
+	if left := r.Header.Get("X-Left-Ms"); len(left) != 4 || left > "2000" {
+		t.Errorf("%s ms left of 2000", left)
+	}
+}
+
+// TestBrokenRequests are answered with 400, 401, 404, 413 and 431, and nothing is passed on.
+func TestBrokenRequests(t *testing.T) {
+	b := start(t, func(_ int, c net.Conn, _ *http.Request) { whole(c, "good") })
+	for name, tc := range map[string]struct {
+		got    got
+		status int
+	}{
+		"no id":       {b.send("POST", "once", "", "X-Id", ""), 400},
+		"unknown key": {b.send("POST", "once", "", "X-Key", "forged"), 401},
+		"no route":    {b.send("POST", "nowhere", ""), 404},
+		"long body":   {b.send("POST", "once", strings.Repeat("x", 1001)), 413},
+		"long header": {b.send("POST", "once", "", "X-Long", strings.Repeat("x", 2000)), 431},
+		"huge header": {b.send("POST", "once", "", "X-Long", strings.Repeat("x", 2<<20)), 431},
+	} {
+		if tc.got.status != tc.status {
+			t.Errorf("%s: %d, %v, want %d", name, tc.got.status, tc.got.err, tc.status)
+		}
+	}
+	for name, raw := range map[string]string{
+		"no HTTP":          "GARBAGE\r\n\r\n",
+		"two lengths":      "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id: i\r\nX-Key: key\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+		"broken chunk":     "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id: i\r\nX-Key: key\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"space in a name":  "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id : i\r\nX-Key: key\r\n\r\n",
+		"unknown encoding": "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id: i\r\nX-Key: key\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, raw)
+		answer := make([]byte, 12)
+		if _, err := io.ReadFull(conn, answer); err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 4") && !strings.HasPrefix(string(answer), "HTTP/1.1 501") {
+			t.Errorf("%s: %q, %v", name, answer, err)
+		}
+		conn.Close()
+	}
+	if len(b.requests) != 0 {
+		t.Errorf("%d requests were passed on", len(b.requests))
+	}
+}
+
+// TestCallerLeaves: the endpoint's connection closes when the caller's does, before and
+// after the answer has begun.
+func TestCallerLeaves(t *testing.T) {
+	for name, begins := range map[string]bool{"before the answer": false, "in the answer": true} {
+		t.Run(name, func(t *testing.T) {
+			reached, closed := make(chan struct{}), make(chan struct{})
+			b := start(t, func(_ int, c net.Conn, _ *http.Request) {
+				if begins {
+					streamHead(c)
+					events(c, 1, 1)
+				}
+				close(reached)
+				_, _ = c.Read(make([]byte, 1))
+				close(closed)
+			})
+			ctx, leave := context.WithCancel(context.Background())
+			go func() {
+				<-reached
+				leave()
+			}()
+			r, _ := http.NewRequestWithContext(ctx, "POST", b.url+"/stream/x", nil)
+			r.Host = "h"
+			r.Header.Set("X-Id", "id-1")
+			r.Header.Set("X-Key", "key")
+			tr := &http.Transport{DisableKeepAlives: true}
+			if resp, err := tr.RoundTrip(r); err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+			select {
+			case <-closed:
+			case <-time.After(10 * time.Second):
+				t.Fatal("the endpoint is still at work")
+			}
+		})
+	}
+}
+
+// TestTimeIsOver: a request without an answer ends when the caller's time does.
+func TestTimeIsOver(t *testing.T) {
+	for _, begins := range []bool{false, true} {
+		t.Run(fmt.Sprintf("begun %t", begins), func(t *testing.T) {
+			b := start(t, func(_ int, c net.Conn, _ *http.Request) {
+				if begins {
+					streamHead(c)
+					events(c, 1, 1)
+				}
+				_, _ = c.Read(make([]byte, 1))
+			})
+			began := time.Now()
+			g := b.send("POST", "stream", "", "X-Wait-Ms", "100")
+			if begins == (g.err == nil) || !begins && g.status != 504 {
+				t.Errorf("got %d, %v", g.status, g.err)
+			}
+			if d := time.Since(began); d < 100*time.Millisecond {
+				t.Errorf("ended after %v", d)
+			}
+			if len(b.requests) != 1 {
+				t.Errorf("%d arrivals", len(b.requests))
+			}
+		})
+	}
+}
+
+// TestStopping asks callers to leave their connections.
+func TestStopping(t *testing.T) {
+	b := start(t, func(_ int, c net.Conn, _ *http.Request) { whole(c, "good") })
+	if g := b.send("POST", "once", ""); g.leave {
+		t.Error("callers are asked to leave")
+	}
+	b.server.Stop()
+	if g := b.send("POST", "once", ""); !g.leave {
+		t.Error("callers are not asked to leave")
+	}
+}
+
+// TestIdleConnections are closed after the published limit and not before; one with a
+// request in progress never is.
+func TestIdleConnections(t *testing.T) {
+	var conns idleConns
+	idle, end := net.Pipe()
+	defer end.Close()
+	conns.track(idle, http.StateIdle)
+	if n := conns.closeOlder(time.Hour); n != 0 {
+		t.Errorf("%d closed before the limit", n)
+	}
+	conns.track(idle, http.StateActive)
+	if n := conns.closeOlder(-time.Hour); n != 0 {
+		t.Errorf("%d closed with a request in progress", n)
+	}
+	conns.track(idle, http.StateIdle)
+	if n := conns.closeOlder(-time.Hour); n != 1 {
+		t.Errorf("%d closed after the limit", n)
+	}
+	if _, err := end.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the connection stands: %v", err)
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	dialect  Dialect
 	client   *exchange.Client
 	meter    *Meter
+	idle     idleConns
 	stopping atomic.Bool
 }
 
@@ -30,6 +32,19 @@
 	return &Server{control: c, dialect: d, client: x, meter: m}
 }
 
+// TrackConn must be the ConnState of the http.Server that runs this server.
+func (s *Server) TrackConn(c net.Conn, st http.ConnState) { s.idle.track(c, st) }
+
+// CloseIdle closes the connections of callers that have waited for their next request for
+// longer than the published limit.
+func (s *Server) CloseIdle() {
+	var limit time.Duration
+	s.control.Do(func(st *control.State, _ boottime.Instant) { limit = st.Limits().IdleTimeout })
+	if limit > 0 {
+		s.idle.closeOlder(limit)
+	}
+}
+
 // Stop makes the server ask callers to leave their connections.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,142 @@
+package mesh
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/wire"
+)
+
+const start = boottime.Instant(time.Hour)
+
+// TestConfirmedIsNeverTooRecent exchanges Status messages between two gateways whose
+// clocks have nothing to do with each other, delayed at will. What the receiver takes as
+// the time of the sender's knowledge is never later than it was.
+func TestConfirmedIsNeverTooRecent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offset := time.Duration(rapid.Int64Range(-1_000_000, 1_000_000).Draw(t, "offset_ms")) * time.Millisecond
+		a := New(start, Member{ID: "a", Addr: "a"}, rapid.Uint64().Draw(t, "seed"))
+		b := New(start.Add(offset), Member{ID: "b", Addr: "b"}, rapid.Uint64().Draw(t, "seed"))
+		a.Learn(start, []Member{{ID: "b", Addr: "b"}})
+		b.Learn(start.Add(offset), []Member{{ID: "a", Addr: "a"}})
+		now := start
+		var toA []wire.Status
+		var knew boottime.Instant // on a's clock, when b last read the store
+		var truth []boottime.Instant
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3_000_000).Draw(t, "us")) * time.Microsecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0: // a Status of a arrives at b at once
+				for _, o := range a.Urgent(now, Local{}) {
+					b.Receive(now.Add(offset), "a", 1, o.Message.(wire.Status))
+				}
+				if a.Live(now) == 0 { // a has not heard b yet
+					for _, o := range a.Tick(now, Local{}) {
+						b.Receive(now.Add(offset), "a", 1, o.Message.(wire.Status))
+					}
+				}
+			case 1: // b reads the store
+				knew = now
+			case 2: // b sends a Status
+				l := Local{Confirmed: knew}
+				if knew != 0 {
+					l.Confirmed = knew.Add(offset)
+				}
+				for _, o := range b.Tick(now.Add(offset), l) {
+					toA = append(toA, o.Message.(wire.Status))
+					truth = append(truth, knew)
+				}
+			case 3: // one arrives at a, late
+				if len(toA) == 0 {
+					continue
+				}
+				i := rapid.IntRange(0, len(toA)-1).Draw(t, "which")
+				a.Receive(now, "b", 2, toA[i])
+				if at, ok := a.Confirmed(now, toA[i]); ok && at > truth[i] {
+					t.Fatalf("knowledge of %d counts as of %d", truth[i], at)
+				}
+			}
+		}
+	})
+}
+
+// TestStampsOfAnEarlierProcess prove nothing to its successor.
+func TestStampsOfAnEarlierProcess(t *testing.T) {
+	before := New(start, Member{ID: "a", Addr: "a"}, 1<<63)
+	after := New(start.Add(10*time.Second), Member{ID: "a", Addr: "a"}, 1<<62)
+	for _, echo := range []uint64{before.stamp(start.Add(5 * time.Second)), after.stamp(start.Add(time.Minute)), 0} {
+		if at, ok := after.Confirmed(start.Add(20*time.Second), wire.Status{Current: true, Echo: echo}); ok {
+			t.Errorf("echo %d counts as of %d", echo, at)
+		}
+	}
+}
+
+// TestMessageRate bounds what a gateway with news at all times sends, at any size of the
+// fleet: 5 KB a second of Status messages of 75 bytes.
+func TestMessageRate(t *testing.T) {
+	for _, size := range []int{2, 9, 83, 410} {
+		s := New(start, Member{ID: "self"}, 1)
+		for i := range size - 1 {
+			s.Learn(start, []Member{{ID: fleet.InstanceID(fmt.Sprint(i)), Addr: "x"}})
+		}
+		sent := 0
+		for n := range 1000 {
+			now := start.Add(time.Duration(n) * 10 * time.Millisecond)
+			for _, p := range s.order {
+				s.Receive(now, p.ID, 1, wire.Status{Stamp: uint64(n)})
+			}
+			sent += len(s.Tick(now, Local{Version: uint64(n)}))
+		}
+		if sent > 10*70+size {
+			t.Errorf("%d gateways: %d messages in 10 s", size, sent)
+		}
+		if s.Live(start.Add(10*time.Second)) != size-1 {
+			t.Errorf("%d gateways: %d live peers", size, s.Live(start.Add(10*time.Second)))
+		}
+	}
+}
+
+// TestRestartedPeer: the stamps of a peer's new process count, and late messages of the
+// process before do not.
+func TestRestartedPeer(t *testing.T) {
+	s := New(start, Member{ID: "self"}, 1)
+	s.Learn(start, []Member{{ID: "p", Addr: "x"}})
+	load := func(n uint16) []wire.InFlight { return []wire.InFlight{{Endpoint: 7, Requests: n}} }
+	s.Receive(start, "p", 1, wire.Status{Stamp: 100, InFlight: load(5)})
+	s.Receive(start, "p", 2, wire.Status{Stamp: 1, InFlight: load(1)})
+	s.Receive(start, "p", 1, wire.Status{Stamp: 101, InFlight: load(6)})
+	if got := s.InFlight(start)[7]; got != 1 {
+		t.Errorf("%d requests in flight, want 1", got)
+	}
+	s.Receive(start, "p", 2, wire.Status{Stamp: 3, InFlight: load(3)})
+	s.Receive(start, "p", 2, wire.Status{Stamp: 2, InFlight: load(2)})
+	if got := s.InFlight(start)[7]; got != 3 {
+		t.Errorf("%d requests in flight, want 3", got)
+	}
+	if s.Receive(start, "stranger", 1, wire.Status{}) {
+		t.Error("a stranger is known")
+	}
+}
+
+// TestSilentPeers no longer count as live, still count as possible senders for a minute,
+// and are then forgotten.
+func TestSilentPeers(t *testing.T) {
+	s := New(start, Member{ID: "self"}, 1)
+	s.Learn(start, []Member{{ID: "p", Addr: "x"}})
+	s.Receive(start, "p", 1, wire.Status{Stamp: 1, InFlight: []wire.InFlight{{Endpoint: 7, Requests: 5}}})
+	for _, tc := range []struct {
+		after          time.Duration
+		live, size, at int
+	}{{time.Second, 1, 2, 5}, {5 * time.Second, 0, 2, 0}, {2 * time.Minute, 0, 1, 0}} {
+		now := start.Add(tc.after)
+		s.Tick(now, Local{})
+		if s.Live(now) != tc.live || s.Size() != tc.size || s.InFlight(now)[7] != tc.at {
+			t.Errorf("after %v: %d live of %d, %d in flight", tc.after, s.Live(now), s.Size(), s.InFlight(now)[7])
+		}
+	}
+}
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,81 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+)
+
+// TestWindowKeepsTheBound: in every span of the length, retries stay within the ratio of
+// the requests in it, those a slot before it included, plus the constant.
+func TestWindowKeepsTheBound(t *testing.T) {
+	const length, ratio, extra = 10 * time.Second, 0.2, 5.0
+	rapid.Check(t, func(t *rapid.T) {
+		w := NewWindow(length)
+		now := boottime.Instant(time.Hour)
+		var requests, retries []boottime.Instant
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				w.Request(now)
+				requests = append(requests, now)
+				continue
+			}
+			if !w.Retry(now, ratio, extra) {
+				continue
+			}
+			retries = append(retries, now)
+			span := length + length/windowSlots
+			if n := within(retries, now, length); float64(n) > ratio*float64(within(requests, now, span))+extra {
+				t.Fatalf("%d retries for %d requests", n, within(requests, now, span))
+			}
+		}
+	})
+}
+
+func within(times []boottime.Instant, now boottime.Instant, span time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if d := now.Sub(at); d >= 0 && d <= span {
+			n++
+		}
+	}
+	return n
+}
+
+// TestFleetKeepsTheBudget plays nine routers whose every request fails and is retried
+// as often as the budget allows.
+func TestFleetKeepsTheBudget(t *testing.T) {
+	const routers, ratio, extra, length = 9, 0.2, 58.0, 10 * time.Second
+	rng := rand.New(rand.NewPCG(1, 2))
+	t.Log("seed 1 2")
+	var ws []*Window
+	for range routers {
+		ws = append(ws, NewWindow(length))
+	}
+	now := boottime.Instant(time.Hour)
+	var requests, retries []boottime.Instant
+	for range 20_000 {
+		now = now.Add(time.Duration(rng.IntN(int(16 * time.Millisecond))))
+		w := ws[rng.IntN(routers)]
+		w.Request(now)
+		requests = append(requests, now)
+		for w.Retry(now, ratio, extra/routers) {
+			retries = append(retries, now)
+		}
+	}
+	if len(retries) < len(requests)/6 {
+		t.Errorf("%d retries for %d requests: the budget is not used", len(retries), len(requests))
+	}
+	for i := 0; i < len(retries); i += 37 {
+		end := retries[i]
+		n := within(retries[:i+1], end, length)
+		if most := ratio*float64(within(requests, end, length+length/windowSlots)) + extra; float64(n) > most {
+			t.Fatalf("%d retries in a window, %v are allowed", n, most)
+		}
+	}
+}
