--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,7 +45,7 @@
 	}
 	for _, c := range []subcommands.Command{
 		&dumpCommand{operatorView{env: env}},
-		&explainCommand{operatorView{env: env}},
+		&explainCommand{operatorView: operatorView{env: env}},
 	} {
 		cdr.Register(c, "looking into a running router")
 	}
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"flag"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -16,20 +18,32 @@
 	"github.com/dandelionvane/dandelionvane/platform"
 )
 
-type gatewayCommand struct{ env Env }
+type gatewayCommand struct {
+	env         Env
+	metricsPort uint
+}
 
-func (*gatewayCommand) Name() string           { return "gateway" }
-func (*gatewayCommand) Synopsis() string       { return "run a gateway for published routes" }
-func (*gatewayCommand) SetFlags(*flag.FlagSet) {}
+func (*gatewayCommand) Name() string     { return "gateway" }
+func (*gatewayCommand) Synopsis() string { return "run a gateway for published routes" }
 func (*gatewayCommand) Usage() string {
-	return `gateway
+	return `gateway [--metrics-port N]
 
 Runs a gateway with the settings file that the platform names in the environment
 variable ` + platform.SettingsVariable + `, until SIGTERM or SIGINT, which begin a planned stop.
 The file is read again when it changes, at the latest two seconds later, and on SIGHUP.
+
+Logs go to standard output. With a metrics port, GET /metrics and GET /dump are served
+there, on the address on which the process serves other gateways.
+
+Flags:
 `
 }
 
+// SetFlags implements subcommands.Command.
+func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
+	f.UintVar(&c.metricsPort, "metrics-port", 0, "TCP port for metrics and the state dump, 0: none")
+}
+
 func (c *gatewayCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if problem := needs(f); problem != "" {
 		return c.env.usage(c.Name(), problem)
@@ -47,18 +61,22 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 	return gateway.Run(ctx, gateway.Options{
-		Load:     loadSettings,
+		Load:     c.load,
 		Reload:   reload,
 		Protocol: platform.Store{},
 		Dialect:  platform.Headers{},
 	})
 }
 
-// loadSettings reads the settings file that the environment names.
-func loadSettings() (gateway.Settings, []error) {
+// load reads the settings file that the environment names.
+func (c *gatewayCommand) load() (gateway.Settings, []error) {
 	text, err := os.ReadFile(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return gateway.Settings{}, []error{errors.Wrapf(err, "settings file of %s", platform.SettingsVariable)}
 	}
-	return platform.ParseSettings(string(text))
+	s, faults := platform.ParseSettings(string(text))
+	if host, _, err := net.SplitHostPort(s.Listen.Control); err == nil && c.metricsPort != 0 {
+		s.Listen.Operator = net.JoinHostPort(host, strconv.FormatUint(uint64(c.metricsPort), 10))
+	}
+	return s, faults
 }
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -88,10 +88,7 @@
 	ad.HeaderLimit, ad.BodyLimit = s.table.Config().Limits.HeaderBytes, s.table.Config().Limits.BodyBytes
 	ad.Route = s.table.Route(a.Host, a.Path)
 	if ad.Route == nil {
-		if !s.current(now) {
-			return s.refuse(ad, ReasonStale)
-		}
-		return s.refuse(ad, ReasonNoRoute)
+		return s.refuse(ad, s.denial(now, ReasonNoRoute))
 	}
 	if reason := s.identify(now, a.Key, &ad); reason != ReasonNone {
 		return s.refuse(ad, reason)
@@ -131,7 +128,7 @@
 		if ad.Route.Public {
 			return ReasonNone
 		}
-		return ReasonUnauthenticated
+		return s.denial(now, ReasonUnauthenticated)
 	}
 	ad.Workspace = w.ID
 	if w.HasPriority {
@@ -140,6 +137,15 @@
 	return ReasonNone
 }
 
+// denial returns why a request is refused whose route or key is not known. It may have
+// been published since the configuration was last confirmed: then it should come back.
+func (s *State) denial(now boottime.Instant, r Reason) Reason {
+	if s.Age(now) > s.opts.DenyLimit {
+		return ReasonStale
+	}
+	return r
+}
+
 func timeLimit(r *routing.Route, patience time.Duration) time.Duration {
 	switch {
 	case r.Timeout <= 0:
--- a/internal/control/budget.go
+++ b/internal/control/budget.go
@@ -38,8 +38,19 @@
 	if after == Failed && s.gain(service) < minGain && s.rng.Float64() >= tryAnyway {
 		return false
 	}
-	extra := budgetMargin * s.opts.RetryExtra / float64(s.fleetSize())
-	return s.window(service).Retry(now, budgetMargin*s.opts.RetryRatio, extra)
+	ratio, extra := s.retryShare()
+	return s.window(service).Retry(now, ratio, extra)
+}
+
+// retryShare returns the ratio of retries to requests that this process may make, and its
+// part of the constant beyond that.
+func (s *State) retryShare() (ratio, extra float64) {
+	return budgetMargin * s.opts.RetryRatio, budgetMargin * s.opts.RetryExtra / float64(s.fleetSize())
+}
+
+func (s *State) retriesAllowed(requests int) float64 {
+	ratio, extra := s.retryShare()
+	return ratio*float64(requests) + extra
 }
 
 // RetriedFailure takes whether a retry after an endpoint's own failure helped.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -347,41 +347,49 @@
 }
 
 // TestLoadBound: hardly any request goes to an engine that holds over twice the mean
-// and three more, also while a third of all requests are about one subject.
+// and three more, also while half of all requests are about one subject, and while the
+// traffic has doubled for half of the engines.
 func TestLoadBound(t *testing.T) {
-	for _, hot := range []float64{0, 0.3} {
-		t.Run(fmt.Sprintf("hot %v", hot), func(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		perSecond float64
+		hot       float64
+		gone      int  // engines
+		out       bool // a data centre is out of service
+	}{
+		{"calm", 86, 0, 0, false},
+		{"hot subject", 86, 0.3, 0, false},
+		{"hot subject, few engines, double traffic", 172, 0.5, 4, false},
+		{"hot subject, data centre out, double traffic", 172, 0.5, 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
 			w := coulee(t)
+			for n := range tc.gone {
+				id := fleet.EndpointID(fmt.Sprintf("engine-%d", n+1))
+				w.Remove(id)
+				delete(w.Endpoints, id)
+			}
+			if tc.out {
+				w.Write(publishedtest.Out("a"))
+			}
+			w.Run(time.Second)
 			sent, above := 0, 0
-			next := subjects(w, 60, hot)
-			load(w, 86, w.Now().Add(30*time.Second), func() controltest.Request {
+			next := subjects(w, 60, tc.hot)
+			load(w, tc.perSecond, w.Now().Add(30*time.Second), next, func(o controltest.Outcome) {
 				sent++
-				if over(w) {
+				if o.LoadBefore > 2*o.MeanBefore+3 {
 					above++
 				}
-				return next()
-			}, ignore)
-			w.Run(30 * time.Second)
+			})
+			w.Run(32 * time.Second)
+			t.Logf("%d of %d requests reached an engine above the bound", above, sent)
 			if above*100 > sent*3 {
-				t.Errorf("an engine was above the bound at %d of %d requests", above, sent)
+				t.Errorf("%d of %d requests reached an engine above the bound", above, sent)
 			}
 		})
 	}
 }
 
-// over tells whether an engine holds more than twice the mean and three.
-func over(w *controltest.World) bool {
-	total, engines, most := 0, 0, 0
-	for _, e := range w.Endpoints {
-		if e.Service == llm {
-			total += e.InFlight
-			engines++
-			most = max(most, e.InFlight)
-		}
-	}
-	return float64(most) > 2*float64(total)/float64(engines)+3
-}
-
 // TestStoreOutage: entries that vanish with the store are used until two seconds after
 // its return, one that is removed in calm is not.
 func TestStoreOutage(t *testing.T) {
@@ -479,6 +487,18 @@
 			t.Errorf("%s: no answer", name)
 		}
 	}
+	w.Cut = func(a, b string) bool { return true }
+	w.Run(2 * time.Second)
+	for name, r := range map[string]controltest.Request{
+		"unknown key":  {Host: "h", Path: "/chat/x", Key: "forged"},
+		"unknown path": {Host: "h", Path: "/", Key: "key"},
+	} {
+		w.Nodes[0].Send(r, func(o controltest.Outcome) {
+			if o.Reason != control.ReasonStale {
+				t.Errorf("%s, two seconds after the last news: %v", name, o.Reason)
+			}
+		})
+	}
 	young := controltest.New(seed, 1)
 	young.Nodes[0].Send(chat, func(o controltest.Outcome) {
 		if o.Reason != control.ReasonNoConfig {
@@ -486,3 +506,119 @@
 		}
 	})
 }
+
+// grown returns a fleet of 83 gateways over four data centres before 140 engines and
+// four replicas of a plain service, settled.
+func grown(t *testing.T) *controltest.World {
+	t.Logf("seed %d", seed)
+	w := controltest.New(seed, 24, 20, 19, 20)
+	w.Write(publishedtest.Config(config(1, "key")))
+	for i := range 4 {
+		dc := fleet.DataCentreID(rune('a' + i))
+		for n := range 35 {
+			w.Publish(engine(35*i+n, dc))
+		}
+		w.Publish(replica(i+1, dc))
+	}
+	w.Run(2 * settle)
+	return w
+}
+
+// TestControlTraffic bounds what a gateway sends to peers at any size, with requests in
+// flight at all times: 5 KB a second with the headers of UDP and IP, and the calls of the
+// whole fleet to the store.
+func TestControlTraffic(t *testing.T) {
+	const headers = 28 // bytes of UDP and IP
+	w := grown(t)
+	load(w, 1000, w.Now().Add(20*time.Second), subjects(w, 600, 0), ignore)
+	bytes, calls := 0, 0
+	for _, n := range w.Nodes {
+		bytes -= n.SentBytes + headers*n.Sent
+		calls -= n.Reads
+	}
+	w.Run(20 * time.Second)
+	for _, n := range w.Nodes {
+		bytes += n.SentBytes + headers*n.Sent
+		calls += n.Reads
+		if age := n.State.Age(w.Now()); age > 1500*time.Millisecond {
+			t.Errorf("%s knows the store as it was %v ago", n.ID, age)
+		}
+	}
+	if mean := bytes / len(w.Nodes) / 20; mean > 5000 {
+		t.Errorf("a gateway sends %d bytes a second", mean)
+	}
+	if calls > 20*4 {
+		t.Errorf("%d calls to the store in 20 s", calls)
+	}
+}
+
+// TestPlainServiceOfLargeFleet plays the heaviest day of a plain service: 400 requests a
+// second for four replicas of six slots, which are half busy. No replica may be sent
+// more than its slots and queue hold, though the counts of peers are seconds old.
+func TestPlainServiceOfLargeFleet(t *testing.T) {
+	const slots, queue = 6, 24
+	w := grown(t)
+	most, rejected, requests := 0, 0, 0
+	load(w, 400, w.Now().Add(20*time.Second), func() controltest.Request {
+		requests++
+		full := false
+		for _, e := range w.Endpoints {
+			if e.Service == desk {
+				most = max(most, e.InFlight)
+				full = full || e.InFlight >= slots+queue
+			}
+		}
+		if full {
+			rejected++
+		}
+		return book
+	}, ignore)
+	w.Run(21 * time.Second)
+	if rejected > 0 {
+		t.Errorf("a replica was full at %d of %d requests, it held %d", rejected, requests, most)
+	}
+	if most > 3*slots {
+		t.Errorf("a replica held %d requests", most)
+	}
+}
+
+// TestRetriesThatBringNothing: when endpoints' failures lie in the requests, hardly any
+// are repeated; when repeating helps, they are.
+func TestRetriesThatBringNothing(t *testing.T) {
+	for _, helps := range []bool{false, true} {
+		w := coulee(t)
+		st := w.Nodes[0].State
+		allowed := 0
+		for range 2000 {
+			w.Nodes[0].Send(book, ignore)
+			w.Run(10 * time.Millisecond)
+			if st.Retry(w.Now(), desk, control.Failed) {
+				allowed++
+				st.RetriedFailure(desk, helps)
+			}
+		}
+		if helps && allowed < 200 || !helps && allowed > 150 {
+			t.Errorf("helps %t: %d of 2000 repeated", helps, allowed)
+		}
+		if !helps && !st.Retry(w.Now(), desk, control.Full) {
+			t.Error("a refused request is not sent elsewhere")
+		}
+	}
+}
+
+// TestRefusedCallersComeBackSpread: callers who are refused together are not told to
+// return together.
+func TestRefusedCallersComeBackSpread(t *testing.T) {
+	w := controltest.New(seed, 1)
+	var least, most time.Duration
+	for range 200 {
+		d := w.Nodes[0].State.Admit(w.Now(), control.Arrival{Host: "h", Path: "/chat/"}).RetryAfter
+		if least == 0 || d < least {
+			least = d
+		}
+		most = max(most, d)
+	}
+	if most < least*5/4 {
+		t.Errorf("all return after %v to %v", least, most)
+	}
+}
--- /dev/null
+++ b/internal/control/dump.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/mesh"
+)
+
+// Dump is the whole decision state for people.
+type Dump struct {
+	Ready     bool                 `json:"ready"`
+	Stopping  bool                 `json:"stopping"`
+	Store     StoreDump            `json:"store"`
+	Members   []mesh.Member        `json:"members"`
+	LivePeers int                  `json:"live_peers"`
+	Out       []fleet.DataCentreID `json:"data_centres_out"`
+	Services  []ServiceDump        `json:"services"`
+	Endpoints []EndpointDump       `json:"endpoints"`
+}
+
+// StoreDump is what is known of the platform's store.
+type StoreDump struct {
+	Revision      fleet.Revision `json:"revision"`
+	ConfigVersion int64          `json:"config_version"`
+	AgeMs         int64          `json:"age_ms"` // since the sending of the read that last confirmed it
+	ReadsFail     bool           `json:"reads_fail"`
+	ReaderRank    int            `json:"reader_rank"` // place in the order in which gateways read
+}
+
+// ServiceDump is the retry budget of one service.
+type ServiceDump struct {
+	Service  fleet.ServiceID `json:"service"`
+	Requests int             `json:"requests_in_window"`
+	Retries  int             `json:"retries_in_window"`
+	Allowed  float64         `json:"retries_allowed"`
+	Gain     float64         `json:"retries_that_help"` // share
+}
+
+// EndpointDump is what is known of one endpoint.
+type EndpointDump struct {
+	ID         fleet.EndpointID   `json:"id"`
+	Service    fleet.ServiceID    `json:"service"`
+	DataCentre fleet.DataCentreID `json:"data_centre"`
+	Addr       string             `json:"addr"`
+	Usable     bool               `json:"usable"`
+	Leaving    bool               `json:"leaving"`
+	Moved      bool               `json:"moved"`
+	Down       bool               `json:"down"`
+	Avoided    bool               `json:"avoided"`
+	ColdMs     int64              `json:"cold_ms"` // left
+	InFlight   int                `json:"in_flight"`
+	Load       int                `json:"load"` // of the fleet, as far as it is known
+	Failures   float64            `json:"failure_rate"`
+}
+
+// Dump returns the state.
+func (s *State) Dump(now boottime.Instant) Dump {
+	d := Dump{
+		Ready:    s.Ready(now),
+		Stopping: s.stopping,
+		Store: StoreDump{
+			Revision:   s.mirror.Revision(),
+			AgeMs:      s.Age(now).Milliseconds(),
+			ReadsFail:  s.reader.down,
+			ReaderRank: s.mesh.ReaderRank(now, s.reader.noStore(now)),
+		},
+		Members:   s.mesh.Members(),
+		LivePeers: s.mesh.Live(now),
+	}
+	if s.table != nil {
+		d.Store.ConfigVersion = s.table.Config().Version
+	}
+	for dc, out := range s.evacuated {
+		if out {
+			d.Out = append(d.Out, dc)
+		}
+	}
+	slices.Sort(d.Out)
+	for id, w := range s.retries {
+		requests, retries := w.Counts(now)
+		d.Services = append(d.Services, ServiceDump{
+			Service: id, Requests: requests, Retries: retries, Allowed: s.retriesAllowed(requests), Gain: s.gain(id),
+		})
+	}
+	slices.SortFunc(d.Services, func(a, b ServiceDump) int { return strings.Compare(string(a.Service), string(b.Service)) })
+	for _, e := range s.endpoints {
+		d.Endpoints = append(d.Endpoints, s.dumpEndpoint(now, e))
+	}
+	slices.SortFunc(d.Endpoints, func(a, b EndpointDump) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return d
+}
+
+func (s *State) dumpEndpoint(now boottime.Instant, e *endpoint) EndpointDump {
+	return EndpointDump{
+		ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, Addr: e.Addr,
+		Usable: s.usable(now, e), Leaving: e.Leaving, Moved: e.moved, Down: e.health.down,
+		Avoided:  now.Before(e.health.avoidUntil),
+		ColdMs:   max(e.cold.until.Sub(now), 0*time.Millisecond).Milliseconds(),
+		InFlight: e.inFlight, Load: s.load(now, e), Failures: e.health.failures,
+	}
+}
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -48,6 +48,18 @@
 	return counted
 }
 
+// unseen estimates what peers have sent to an endpoint since they last told: as much as
+// this process has, in half of that time. A single request tells nothing.
+func (s *State) unseen(now boottime.Instant, e *endpoint) int {
+	recent := 0
+	for _, at := range e.cold.sends {
+		if now.Sub(at) <= s.mesh.Period() {
+			recent++
+		}
+	}
+	return max(recent-1, 0) * s.mesh.Live(now) / 2
+}
+
 // queues tells whether requests waited at an endpoint a moment ago.
 func (s *State) queues(now boottime.Instant, e *endpoint) bool {
 	return now.Sub(e.told.at) <= toldTime && e.told.Waiting > 0
@@ -62,11 +74,11 @@
 }
 
 // ownInFlight is what peers are told.
-func (s *State) ownInFlight() []wire.InFlight {
-	var out []wire.InFlight
+func (s *State) ownInFlight() wire.InFlight {
+	out := wire.InFlight{}
 	for _, e := range s.endpoints {
 		if e.inFlight > 0 {
-			out = append(out, wire.InFlight{Endpoint: e.short(), Requests: uint16(min(e.inFlight, math.MaxUint16))})
+			out[e.short()] = uint16(min(e.inFlight, math.MaxUint16))
 		}
 	}
 	return out
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -182,6 +182,7 @@
 		Revision:  s.mirror.Revision(),
 		Confirmed: s.belief.confirmed,
 		Stopping:  s.stopping,
+		NoStore:   s.reader.noStore(now),
 		InFlight:  s.ownInFlight(),
 		Down:      s.ownDown(now),
 		News:      s.news,
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -9,8 +9,15 @@
 )
 
 const (
-	// loadSlack is what an endpoint may hold beyond the multiple of the mean.
+	// loadMargin is the part of the allowed multiple of the mean that is used while all
+	// endpoints can be.
+	loadMargin = 0.75
+	// loadSlack is what an endpoint may hold beyond that.
 	loadSlack = 2
+	// allowedSlack is what an endpoint may hold beyond the allowed multiple of the mean.
+	allowedSlack = 3
+	// allMargin is the part of both that is used while some endpoints take nothing.
+	allMargin = 0.85
 	// youngTime is for how long an endpoint may lack the parts of prompts that hash to it.
 	youngTime = 15 * time.Second
 	// comeBackWhenDown is when a caller should return for whom no endpoint is up: those
@@ -74,7 +81,9 @@
 type candidates struct {
 	able  []*endpoint // those that may take it now
 	loads []int       // of each in able
-	total int
+	total int         // of loads
+	all   int         // endpoints of the service, whatever their state
+	onAll int         // requests at all of them
 	dead  []*endpoint // those that are down
 	cold  int         // those that are cold and have had their share
 	tried int
@@ -95,6 +104,10 @@
 	var c candidates
 	var avoided []*endpoint
 	for _, e := range s.services[w.Service] {
+		if e.listed {
+			c.all++
+			c.onAll += s.load(now, e)
+		}
 		switch {
 		case !s.usable(now, e):
 		case slices.Contains(w.Tried, e.ID):
@@ -130,11 +143,11 @@
 		}
 		return s.leastLoaded(now, w.Service, c)
 	}
-	bound := s.opts.LoadMultiple*(float64(c.total)+1)/float64(len(c.able)) + loadSlack
+	bound := s.loadBound(&c)
 	var best *endpoint
 	var bestWeight uint64
 	for i, e := range c.able {
-		if float64(c.loads[i]+1) > bound {
+		if float64(c.loads[i]+s.unseen(now, e)+1) > bound {
 			continue
 		}
 		if weight := fleet.Weight(w.Affinity, e.hash); best == nil || weight > bestWeight {
@@ -152,6 +165,15 @@
 	return best
 }
 
+// loadBound is what an endpoint may hold with one more request. It leaves room below the
+// allowed multiple of the mean of all endpoints, those included that may not be used now,
+// for requests of peers that are not counted yet.
+func (s *State) loadBound(c *candidates) float64 {
+	ableMean := float64(c.total+1) / float64(len(c.able))
+	allMean := float64(c.onAll+1) / float64(max(c.all, 1))
+	return min(loadMargin*s.opts.LoadMultiple*ableMean+loadSlack, allMargin*(s.opts.LoadMultiple*allMean+allowedSlack))
+}
+
 // leastLoaded picks an endpoint with the least load. Endpoints whose difference is within
 // what is known of their loads count as equal: of those, one at random, of the own data
 // centre if there is one. Picking the very least by counts that are late would send all
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -32,13 +32,13 @@
 	// want a change in force.
 	wantPause = 650 * time.Millisecond
 
+	// failureCounts is for how long after a failed read other gateways read first.
+	failureCounts = 5 * time.Second
+
 	minReadBackoff = 200 * time.Millisecond
 	maxReadBackoff = time.Second
 )
 
-// readerKey orders the gateways for reading the store.
-const readerKey = 0x5f3759df
-
 // reader decides when this process reads the store. Few gateways do while peers keep
 // the others up to date.
 type reader struct {
@@ -50,6 +50,7 @@
 	relist   bool             // the history does not reach back
 	spread   time.Duration    // of this process, for its place at the end of the order
 	down     bool             // the last read failed
+	failedAt boottime.Instant // when it did
 	wanted   boottime.Instant // read then, whatever the age, 0: no
 	holder   fleet.InstanceID // the peer that has what is wanted
 }
@@ -88,10 +89,15 @@
 	if r.spread == 0 {
 		r.spread = 1 + time.Duration(s.rng.Int64N(int64(readSpread)))
 	}
-	rank := time.Duration(s.mesh.Rank(now, readerKey))
+	rank := time.Duration(s.mesh.ReaderRank(now, r.noStore(now)))
 	return min(readAge+rank*readAgeStep, maxReadAge+r.spread)
 }
 
+// noStore tells whether a read has failed so recently that others should read first.
+func (r *reader) noStore(now boottime.Instant) bool {
+	return r.down && now.Sub(r.failedAt) <= failureCounts
+}
+
 // ReadDone takes the result of a read that ReadStore asked for.
 func (s *State) ReadDone(now boottime.Instant, u published.Update) {
 	r := &s.reader
@@ -117,7 +123,10 @@
 	if !r.down {
 		s.log(event.PlatformUnreadable, "err", err.Error(), "age_ms", s.Age(now).Milliseconds(), "revision", s.mirror.Revision())
 	}
-	r.down = true
+	if !r.noStore(now) {
+		s.loads.version++
+	}
+	r.down, r.failedAt = true, now
 	if r.holder != "" {
 		s.pull(r.holder, wire.MaxFrameBytes/2)
 		r.holder = ""
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -23,7 +23,8 @@
 
 	StrictRevoke bool          // refuse keys when the configuration may be out of date
 	BeliefLimit  time.Duration // age of the configuration up to which keys are accepted
-	LoadMultiple float64       // highest load of an endpoint as a multiple of its service's mean
+	DenyLimit    time.Duration // age of the configuration up to which what it does not hold does not exist
+	LoadMultiple float64       // highest load that an endpoint may have, as a multiple of its service's mean
 	ColdMultiple float64       // of the rate that a cold endpoint bears, not to be exceeded by the fleet
 	ColdExtra    float64       // requests in a second beyond that
 	RetryRatio   float64       // retries for each request, over the fleet
--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -33,15 +33,16 @@
 // Start begins a new process, which knows nothing.
 func (n *Node) Start() {
 	w := n.World
-	n.incarnation = fleet.Incarnation(w.rng.Uint64())
+	n.incarnation = fleet.Incarnation(w.rng.Uint32())
 	o := control.Options{
 		Self:         mesh.Member{ID: n.ID, DataCentre: n.DataCentre, Addr: string(n.ID), Control: string(n.ID)},
-		Seed:         uint64(n.incarnation),
+		Seed:         w.rng.Uint64(),
 		Seeds:        seeds,
 		Protocol:     publishedtest.Protocol{},
 		StrictRevoke: true,
 		BeliefLimit:  4 * time.Second,
-		LoadMultiple: 1.5,
+		DenyLimit:    1500 * time.Millisecond,
+		LoadMultiple: 2,
 		ColdMultiple: 1.5,
 		ColdExtra:    5,
 		RetryRatio:   0.2,
--- a/internal/controltest/request.go
+++ b/internal/controltest/request.go
@@ -32,6 +32,9 @@
 	Endpoint *Endpoint      // where it ran last, nil: nowhere
 	Sends    int
 	At       boottime.Instant
+
+	LoadBefore float64 // requests that the endpoint held when this one arrived
+	MeanBefore float64 // of the service's endpoints
 }
 
 // maxSends bounds the endpoints that one request is sent to.
@@ -83,11 +86,13 @@
 
 func (n *Node) runAt(e *Endpoint, t *control.Ticket, send int, done func(Outcome)) {
 	w, process := n.World, n.incarnation
+	o := Outcome{Endpoint: e, Sends: send, LoadBefore: float64(e.InFlight), MeanBefore: w.mean(e.Service)}
 	e.Arrivals = append(e.Arrivals, w.now)
 	e.InFlight++
 	w.After(e.Takes, func() {
 		e.InFlight--
-		done(Outcome{Endpoint: e, Sends: send, At: w.now})
+		o.At = w.now
+		done(o)
 		w.After(hop, func() {
 			if n.incarnation == process {
 				n.do(func() { n.State.Ended(w.now, t, control.Answered) })
@@ -96,6 +101,18 @@
 	})
 }
 
+// mean returns the requests that the endpoints of a service hold on average.
+func (w *World) mean(service fleet.ServiceID) float64 {
+	total, n := 0, 0
+	for _, e := range w.Endpoints {
+		if e.Service == service {
+			total += e.InFlight
+			n++
+		}
+	}
+	return float64(total) / float64(n)
+}
+
 // MostArrivals returns the highest number of arrivals in any span of a length that
 // begins at or after a time.
 func (e *Endpoint) MostArrivals(from boottime.Instant, span time.Duration) int {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,13 +116,18 @@
 	p.wg.Go(func() { p.peers.Serve(p.ctx, p.receive) })
 	p.wg.Go(p.readStore)
 	p.wg.Go(p.watchSettings)
+	p.wg.Go(p.report)
 	p.wg.Go(p.closeIdle)
 	p.callers = &http.Server{Handler: p.server, ReadHeaderTimeout: headerTimeout, ConnState: p.server.TrackConn}
 	for addr, srv := range map[string]*http.Server{
 		s.Listen.Callers:  p.callers,
 		s.Listen.Balancer: {Handler: p.balancerHandler(), ReadHeaderTimeout: headerTimeout},
 		s.Listen.Control:  {Handler: p.controlHandler(), ReadHeaderTimeout: headerTimeout},
+		s.Listen.Operator: {Handler: p.operatorHandler(), ReadHeaderTimeout: headerTimeout},
 	} {
+		if addr == "" {
+			continue
+		}
 		if err := p.serve(srv, addr); err != nil {
 			return err
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -38,7 +38,7 @@
 // listenPeers opens the socket for messages of peers.
 func (p *process) listenPeers(seed uint64) error {
 	var err error
-	p.peers, err = gossip.Listen(p.settings.Peers.Addr, p.settings.Instance, fleet.Incarnation(seed))
+	p.peers, err = gossip.Listen(p.settings.Peers.Addr, p.settings.Instance, fleet.Incarnation(uint32(seed)))
 	return err
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -28,6 +28,7 @@
 	Callers  string // requests of callers
 	Balancer string // the balancer's question whether the process takes callers
 	Control  string // other processes that look for peers
+	Operator string // metrics and state dump, "" for none
 }
 
 // Peers says how other gateway processes are found.
@@ -78,10 +79,6 @@
 // store may answer a change's writer before it shows the change to all readers.
 const revokeMargin = time.Second
 
-// loadMargin is the part of the highest load's multiple that is used: what is known of
-// other processes' requests is late.
-const loadMargin = 0.75
-
 // member is how other processes know this one.
 func (s *Settings) member() mesh.Member {
 	return mesh.Member{ID: s.Instance, DataCentre: s.DataCentre, Addr: s.Peers.Addr, Control: s.Listen.Control}
@@ -97,7 +94,8 @@
 		Protocol:     p,
 		StrictRevoke: b.StrictRevoke,
 		BeliefLimit:  b.RevokeInForce - revokeMargin,
-		LoadMultiple: max(loadMargin*b.LoadMultiple, 1),
+		DenyLimit:    b.ConfigInForce * 3 / 4, // the rest is the way of the request
+		LoadMultiple: max(b.LoadMultiple, 1),
 		ColdMultiple: b.ColdMultiple,
 		ColdExtra:    b.ColdExtra,
 		RetryRatio:   b.RetryRatio,
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -22,9 +22,9 @@
 	started   bool // the head was sent
 	status    int
 	events    int
-	lastEvent string // id of the last event that the caller has from this process
-	lastID    uint64 // the same as a number
-	held      *document
+	lastEvent string    // id of the last event that the caller has from this process
+	lastID    uint64    // the same as a number
+	held      *document // an endpoint's failure, for want of anything better; nil once started
 
 	callerGone bool // a write to the caller failed
 }
@@ -147,6 +147,7 @@
 	a.copyHead(x.Header)
 	a.w.WriteHeader(x.Status)
 	a.answer.started, a.answer.status = true, x.Status
+	a.answer.held = nil // the caller has the head of another answer
 	a.s.meter.began(a.call)
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -160,6 +160,16 @@
 			events(c, 2, 3)
 			end(c)
 		}, text(1, 2)},
+		"a failure, then a stream that breaks": {func(n int, c net.Conn, _ *http.Request) {
+			if n == 1 {
+				signed(c, 500, "Content-Length: 4")
+				_, _ = io.WriteString(c, "oops")
+				return
+			}
+			streamHead(c)
+			events(c, 1, 2)
+			reset(c)
+		}, text(1, 2)},
 		"no end": {func(_ int, c net.Conn, _ *http.Request) {
 			streamHead(c)
 			events(c, 1, 2)
@@ -167,10 +177,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := start(t, tc.script)
-			if g := b.send("POST", "stream", ""); g.err == nil || g.body != tc.body {
+			route, arrivals := "stream", 1
+			if strings.HasPrefix(name, "a failure") {
+				route, arrivals = "resumable", 2
+			}
+			if g := b.send("POST", route, ""); g.err == nil || g.body != tc.body {
 				t.Errorf("got %q, %v", g.body, g.err)
 			}
-			if len(b.requests) != 1 {
+			if len(b.requests) != arrivals {
 				t.Errorf("%d arrivals", len(b.requests))
 			}
 		})
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -14,9 +14,10 @@
 	// minPeriod is the least time between two Status messages to one peer. An engine of a
 	// service with the target's load gets one or two requests in it.
 	minPeriod = 120 * time.Millisecond
-	// periodPerPeer bounds what a gateway of a large fleet sends to 40 messages a second:
-	// 5 KB of Status messages of 125 bytes with the headers of UDP and IP.
-	periodPerPeer = 25 * time.Millisecond
+	// periodPerPeer bounds what a gateway of a large fleet sends to 33 messages a second:
+	// 4 KB of Status messages of 120 bytes with the headers of UDP and IP, which leaves a
+	// fifth of the control traffic that the target allows for news.
+	periodPerPeer = 30 * time.Millisecond
 	// quietPeriod is the time between two Status messages to one peer that say nothing new.
 	quietPeriod = 500 * time.Millisecond
 	// silentPeriods is after how many quiet periods without a word a peer counts as down.
@@ -31,6 +32,8 @@
 	directFleet = 16
 	// relays is how many gateways of a data centre pass on news from the others.
 	relays = 2
+	// readerKey orders the gateways for reading the store.
+	readerKey = 0x5f3759df
 	// relayKey orders the gateways of a data centre as relays.
 	relayKey = 0x9e3779b9
 )
@@ -55,7 +58,8 @@
 	Revision  fleet.Revision
 	Confirmed boottime.Instant // zero: never
 	Stopping  bool
-	InFlight  []wire.InFlight
+	NoStore   bool // the last read of the store has failed a moment ago
+	InFlight  wire.InFlight
 	Down      []wire.Down
 	News      *wire.Items // the latest changes, told in Spread and Relay; nil: none that fit
 	Version   uint64      // rises when one of the fields above changes, but for Confirmed
@@ -84,7 +88,7 @@
 
 // stampBits bounds the random first stamp of a process. Two processes of a gateway that
 // follow each other draw overlapping stamps with a chance of a minute in 2^stampBits ms.
-const stampBits = 48
+const stampBits = 31
 
 // New returns the state of a gateway that knows nobody. The seed must differ between
 // the processes of one gateway that follow each other.
@@ -274,6 +278,7 @@
 		Stamp:    s.stamp(now),
 		Revision: l.Revision,
 		Stopping: l.Stopping,
+		NoStore:  l.NoStore,
 		InFlight: l.InFlight,
 		Down:     l.Down,
 	}
@@ -324,27 +329,37 @@
 		if !s.live(now, p) {
 			continue
 		}
-		for _, f := range p.status.InFlight {
-			sum[f.Endpoint] += int(f.Requests)
+		for endpoint, requests := range p.status.InFlight {
+			sum[endpoint] += int(requests)
 		}
 	}
 	return sum
 }
 
-// Rank returns the place of this gateway among the live ones, in an order that all of
-// them share: 0 for the first. Gateways that stop come last.
-func (s *State) Rank(now boottime.Instant, key uint64) int {
-	own := fleet.Weight(key, fleet.Hash(string(s.self.ID)))
-	rank := 0
+// ReaderRank returns the place of this gateway in the order in which the live ones read
+// the store, 0 for the first. Those that stop are left out, and those whose last read has
+// failed come after the others.
+func (s *State) ReaderRank(now boottime.Instant, noStore bool) int {
+	own, rank := readerWeight(s.self), 0
 	for _, p := range s.order {
-		if s.live(now, p) && !p.status.Stopping && fleet.Weight(key, fleet.Hash(string(p.ID))) > own {
+		if !s.live(now, p) || p.status.Stopping {
+			continue
+		}
+		before := readerWeight(p.Member) > own
+		if p.status.NoStore != noStore {
+			before = noStore
+		}
+		if before {
 			rank++
 		}
 	}
 	return rank
 }
 
-// KnownRank is Rank among all known gateways, live or not.
+func readerWeight(m Member) uint64 { return fleet.Weight(readerKey, fleet.Hash(string(m.ID))) }
+
+// KnownRank returns the place of this gateway among all known ones, live or not, in an
+// order that all of them share: 0 for the first.
 func (s *State) KnownRank(key uint64) int {
 	own := fleet.Weight(key, fleet.Hash(string(s.self.ID)))
 	rank := 0
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -106,7 +106,7 @@
 func TestRestartedPeer(t *testing.T) {
 	s := New(start, Member{ID: "self"}, 1)
 	s.Learn(start, []Member{{ID: "p", Addr: "x"}})
-	load := func(n uint16) []wire.InFlight { return []wire.InFlight{{Endpoint: 7, Requests: n}} }
+	load := func(n uint16) wire.InFlight { return wire.InFlight{7: n} }
 	s.Receive(start, "p", 1, wire.Status{Stamp: 100, InFlight: load(5)})
 	s.Receive(start, "p", 2, wire.Status{Stamp: 1, InFlight: load(1)})
 	s.Receive(start, "p", 1, wire.Status{Stamp: 101, InFlight: load(6)})
@@ -128,7 +128,7 @@
 func TestSilentPeers(t *testing.T) {
 	s := New(start, Member{ID: "self"}, 1)
 	s.Learn(start, []Member{{ID: "p", Addr: "x"}})
-	s.Receive(start, "p", 1, wire.Status{Stamp: 1, InFlight: []wire.InFlight{{Endpoint: 7, Requests: 5}}})
+	s.Receive(start, "p", 1, wire.Status{Stamp: 1, InFlight: wire.InFlight{7: 5}})
 	for _, tc := range []struct {
 		after          time.Duration
 		live, size, at int
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -38,6 +38,14 @@
 		for i := range n {
 			fill(t, v.Index(i))
 		}
+	case reflect.Map:
+		v.Set(reflect.MakeMap(v.Type()))
+		for range rapid.IntRange(1, 3).Draw(t, "length") {
+			key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
+			fill(t, key)
+			fill(t, value)
+			v.SetMapIndex(key, value)
+		}
 	case reflect.Pointer:
 		v.Set(reflect.New(v.Type().Elem()))
 		fill(t, v.Elem())
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -2,12 +2,9 @@
 
 import "github.com/dandelionvane/dandelionvane/internal/fleet"
 
-// InFlight is how many requests one gateway has at an endpoint.
-type InFlight struct {
-	_        struct{} `cbor:",toarray"`
-	Endpoint uint32   // low bits of fleet.Hash of the endpoint's id
-	Requests uint16
-}
+// InFlight is how many requests one gateway has at endpoints, by the low bits of
+// fleet.Hash of their ids.
+type InFlight map[uint32]uint16
 
 // Down says that a gateway could not reach an endpoint.
 type Down struct {
@@ -31,7 +28,8 @@
 	Current   bool   // Revision was confirmed at some time
 	AgeMs     uint64 // since the sending of the read of the store that last confirmed it
 	Stopping  bool
-	InFlight  []InFlight
+	NoStore   bool // the sender's last read of the store has failed a moment ago
+	InFlight  InFlight
 	Down      []Down
 	News      *Items // the latest changes up to Revision, where they fit; nil: pull them
 }
