--- a/internal/peering/peer.go
+++ b/internal/peering/peer.go
@@ -59,6 +59,7 @@
 		select {
 		case qf := <-p.queue:
 			idle.Reset(p.t.cfg.IdleTimeout)
+			p.adoptPending()
 			p.sendFrame(qf)
 		case c := <-p.adoptRequests:
 			p.adopt(c)
@@ -74,6 +75,16 @@
 	}
 }
 
+// adoptPending adopts a connection that is waiting, so that no other one is dialled for a frame that was
+// queued after it.
+func (p *peer) adoptPending() {
+	select {
+	case c := <-p.adoptRequests:
+		p.adopt(c)
+	default:
+	}
+}
+
 // adopt makes a connection the current one, on which frames are sent. The previous one stays open for
 // frames that the peer still sends on it, and is closed by its idle timeout.
 func (p *peer) adopt(c *quic.Conn) {
--- a/internal/peering/transport_test.go
+++ b/internal/peering/transport_test.go
@@ -275,3 +275,28 @@
 		}
 	})
 }
+
+// TestPendingConnectionPrecedesDial queues a frame for a peer whose connection is waiting to be adopted. The
+// frame must be sent on that connection.
+func TestPendingConnectionPrecedesDial(t *testing.T) {
+	withPair(t, func(t *testing.T, _ *fakeNetwork, a, b *node) {
+		a.send("b", b, frame("first", 1))
+		b.received(time.Minute)
+		accepted := b.peerFor("a").current.Load()
+		if accepted == nil {
+			t.Fatal("b has no connection to a")
+		}
+		for range 20 {
+			p := newPeer(b.Transport, "a")
+			p.adoptRequests <- accepted
+			p.queue <- queuedFrame{addr: a.Addr().String(), frame: frame("answer", 1)}
+			b.wg.Go(p.run)
+			if got := a.received(time.Minute); got != "b: answer 1" {
+				t.Fatalf("received %q", got)
+			}
+		}
+		if st := b.Stats(); st.Dials != 0 {
+			t.Errorf("%d dials though a connection was waiting", st.Dials)
+		}
+	})
+}
