--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -48,7 +48,7 @@
 		&fleet.Configuration{DataCentres: map[fleet.DataCentreID]fleet.DataCentre{testDC: {ID: testDC, Region: "r"}}},
 		&fleet.InstanceList{Instances: []fleet.Instance{{ID: self, DataCentre: testDC}}},
 		&fleet.EndpointList{Endpoints: es})
-	r := &testRouter{now: epoch, own: ownership.New(epoch, self, testDC), pool: pool.New(self, rand.New(rand.NewPCG(1, 1)))}
+	r := &testRouter{now: epoch, own: ownership.New(epoch, self, testDC, 1), pool: pool.New(self, rand.New(rand.NewPCG(1, 1)))}
 	opts := Options{Multiple: 1.5, Ramp: 30 * time.Second, RampStart: 1, MaxQueue: maxQueue}
 	r.State = New(opts, r.own, r.pool)
 	r.pool.SetView(v)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -80,7 +80,7 @@
 		opts:              opts,
 		rng:               rand.New(rand.NewPCG(opts.RandomSeed, uint64(opts.Incarnation))),
 		now:               now,
-		ownership:         ownership.New(now, opts.Self, opts.DataCentre),
+		ownership:         ownership.New(now, opts.Self, opts.DataCentre, opts.Incarnation),
 		starting:          map[fleet.InstanceID]bool{},
 		requests:          map[fleet.RequestID]*request{},
 		byLease:           map[uint64]*request{},
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -23,6 +23,7 @@
 	expeditedClaimInterval = 500 * time.Millisecond // minimum between rounds of expedited claims to all peers
 	restartMargin          = 200 * time.Millisecond // a restarted peer counts as a voter again this long before it may grant votes
 	selfVotesPerInterval   = 4                      // votes of a router for itself per claim interval
+	claimSeqBits           = 20                     // claims of one incarnation before their numbers reach those of the next
 	maxUnackedClaims       = 4                      // per peer; acknowledgements of older claims are ignored
 )
 
@@ -53,7 +54,7 @@
 	unacked         map[fleet.InstanceID][]sentClaim
 	lastClaims      map[fleet.InstanceID]lastClaim
 	stoppedPeers    map[fleet.InstanceID]peerStop
-	seq             uint64
+	seq             uint64 // of the last claim
 	stopped         bool
 
 	listVersion      uint64                           // version of claimedResources
@@ -120,7 +121,10 @@
 
 // New returns the state of an instance that started now. It owns no resources and has granted
 // no votes.
-func New(now time.Time, self fleet.InstanceID, dc fleet.DataCentreID) *State {
+//
+// Claims are numbered from a value that depends on the incarnation, so that an acknowledgement of a claim of
+// an earlier incarnation, which may arrive after a restart, matches no claim of this one.
+func New(now time.Time, self fleet.InstanceID, dc fleet.DataCentreID, inc fleet.Incarnation) *State {
 	return &State{
 		self:          self,
 		dc:            dc,
@@ -136,6 +140,7 @@
 		ackedVersions: map[fleet.InstanceID]uint64{},
 		peerLists:     map[fleet.InstanceID]claimedList{},
 		listChanged:   true,
+		seq:           uint64(inc) << claimSeqBits,
 	}
 }
 
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -65,7 +65,7 @@
 func (c *cluster) restart(m *node) {
 	m.inc++
 	m.paused = false
-	m.state = New(c.now, m.id, testDC)
+	m.state = New(c.now, m.id, testDC, m.inc)
 	m.usable = map[fleet.InstanceID]bool{}
 	for _, x := range c.nodes {
 		m.usable[x.id] = true
@@ -187,6 +187,43 @@
 	})
 }
 
+// TestAckOfEarlierIncarnationIsIgnored delivers the acknowledgement of a claim to the next incarnation of
+// the claimant, which has sent a claim of its own since.
+func TestAckOfEarlierIncarnationIsIgnored(t *testing.T) {
+	c := newCluster(3, 1)
+	c.loss = 0
+	c.advance(6 * time.Second)
+	res := EndpointResource("e0")
+	owner := c.nodes[c.index(c.nodes[0].state.Owner(res))]
+	voter := c.nodes[(c.index(owner.id)+1)%len(c.nodes)]
+	c.restart(owner)                   // so that its next claim is the first one of an incarnation
+	c.now = c.now.Add(2 * time.Second) // until the votes for the earlier incarnation have expired
+	first := sendTo(t, c, owner, voter)
+	ack, ok := voter.state.OnClaim(c.now, owner.id, owner.inc, first)
+	if !ok {
+		t.Fatal("the claim is not acknowledged")
+	}
+	c.restart(owner)
+	sendTo(t, c, owner, voter)
+	if got := owner.state.OnAck(c.now, voter.id, voter.inc, ack); len(got) != 0 {
+		t.Errorf("%d votes for an earlier incarnation were counted", len(got))
+	}
+}
+
+// sendTo returns the claim that a node sends to a peer.
+func sendTo(t *testing.T, c *cluster, from, to *node) wire.Claim {
+	t.Helper()
+	var out wire.Outbox
+	from.state.Tick(c.now, []fleet.InstanceID{to.id}, nil, &out)
+	for _, o := range out.Messages {
+		if o.To == to.id {
+			return o.Message.(wire.Claim)
+		}
+	}
+	t.Fatal("no claim was sent")
+	return wire.Claim{}
+}
+
 // TestVoteSharesConvergeToOne checks that the owner of each endpoint obtains all votes after the
 // start of the routers if no message is lost.
 func TestVoteSharesConvergeToOne(t *testing.T) {
