--- a/internal/redeem/handover_receive.go
+++ b/internal/redeem/handover_receive.go
@@ -33,14 +33,18 @@
 		return
 	}
 	if slices.Contains(s.completedSessions, m.Session) || s.receiveMessage(now, from, &m) {
-		out.Send(from, wire.RedemptionHandover{Session: m.Session, Seq: m.Seq, Ack: true})
+		out.Send(from, wire.RedemptionHandover{Session: m.Session, Seq: m.Seq, Incarnation: s.self.incarnation, Ack: true})
 	}
 }
 
 // receiveMessage processes a message of a session: it opens the session, buffers the records, and
 // applies the session at the last message. It reports whether to acknowledge the message. A repeated
-// message is acknowledged again, without effect.
+// message is acknowledged again, without effect. Records that were sent to an earlier incarnation are not
+// accepted: that incarnation may have used them and handed them over to another router.
 func (s *Server) receiveMessage(now time.Time, from fleet.InstanceID, m *wire.RedemptionHandover) bool {
+	if m.Seq != 0 && m.Incarnation != s.self.incarnation {
+		return false
+	}
 	ss := s.findIncoming(from, m.Session)
 	if ss == nil {
 		if m.Seq != 0 || m.Last || s.stopping || len(s.incoming) >= maxIncomingSessions {
--- a/internal/redeem/handover_send.go
+++ b/internal/redeem/handover_send.go
@@ -147,6 +147,9 @@
 		if !g.frozen {
 			s.freeze(now, g, ownedSince)
 		}
+		if g.currentMessage == 0 {
+			g.addressTo(m.Incarnation)
+		}
 		g.currentMessage++
 		if g.currentMessage == len(g.messages) {
 			g.done = true
@@ -157,6 +160,14 @@
 	}
 }
 
+// addressTo addresses all messages after the opening one to the incarnation of the successor that
+// acknowledged the opening.
+func (g *outgoingGroup) addressTo(inc fleet.Incarnation) {
+	for i := range g.messages[1:] {
+		g.messages[1+i].Incarnation = inc
+	}
+}
+
 // freeze stops the use of the records of a group, which then do not change during the transfer.
 func (s *Server) freeze(now time.Time, g *outgoingGroup, ownedSince OwnedSince) {
 	g.frozen = true
--- a/internal/wire/redeem.go
+++ b/internal/wire/redeem.go
@@ -88,10 +88,11 @@
 // RedemptionHandover transfers redemption records of a stopping router to a successor, in sessions of
 // numbered messages. Each message is acknowledged before the next one is sent. Seq 0 opens
 // the session and carries no records. The sender stops using the records when Seq 0 is
-// acknowledged; the receiver uses them once it has the Last message.
+// acknowledged; the receiver uses them once it has the Last message. All messages after Seq 0 are for the
+// incarnation of the receiver that acknowledged Seq 0.
 type RedemptionHandover struct {
 	_           struct{}          `cbor:",toarray"`
-	Incarnation fleet.Incarnation // of the issuer of the tickets
+	Incarnation fleet.Incarnation // with Seq 0: of the issuer of the tickets; otherwise, and with Ack: of the receiver of the records
 	Seq         uint32
 	Last        bool
 	Records     []RedemptionRecord
