--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -254,6 +254,48 @@
 	}
 }
 
+// TestForeignLoadAfterLapsedVotes pauses an owner until its votes have expired, so that another owner admits
+// 5 requests. One of the two leases of this owner ends so close to the measurement of the next report that
+// the report may or may not include it.
+func TestForeignLoadAfterLapsedVotes(t *testing.T) {
+	r := newTestRouter(1, 0)
+	r.reportWarm("e0")
+	for id := range uint64(2) {
+		r.requestLease(wire.LeaseRequest{ID: 1 + id, Endpoint: "e0"})
+	}
+	r.now = r.now.Add(10 * time.Second)
+	r.OnPause(r.now)
+	r.advance(time.Second)
+	r.release(1)
+	measured := r.now.Add(100 * time.Millisecond)
+	r.advance(time.Second)
+	r.report("e0", 1+5, capacity, 1, r.now.Sub(measured))
+	if _, foreign := r.counted("e0"); foreign != 5 {
+		t.Errorf("foreign load %d, want the 5 requests of the other owner", foreign)
+	}
+}
+
+// TestReportBeforeDroppedLeasesAfterLapsedVotes is like TestForeignLoadAfterLapsedVotes, but the holder of the
+// leases restarts just before the report is measured. The owner admits nothing until a later report shows the
+// requests of the other owner.
+func TestReportBeforeDroppedLeasesAfterLapsedVotes(t *testing.T) {
+	r := newTestRouter(1, 0)
+	r.reportWarm("e0")
+	for id := range uint64(2) {
+		r.requestLease(wire.LeaseRequest{ID: 1 + id, Endpoint: "e0"})
+	}
+	r.now = r.now.Add(10 * time.Second)
+	r.OnPause(r.now)
+	r.advance(time.Second)
+	r.OnRequest(r.now, holder, 2, wire.LeaseRequest{ID: 1, Endpoint: "e0", DeadlineMS: 60_000}, &r.out)
+	measured := r.now.Add(100 * time.Millisecond)
+	r.advance(time.Second)
+	r.report("e0", 2+5, capacity, 1, r.now.Sub(measured))
+	if got := r.fill("e0", 100); got > capacity-2-5 {
+		t.Errorf("%d leases in addition to 2 requests of the earlier incarnation and 5 of the other owner", got)
+	}
+}
+
 func TestEndOfAFormerLeaseCountsOnce(t *testing.T) {
 	r := newTestRouter(1, 0)
 	r.report("e0", 5, capacity, 1, 0)
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/ownership"
 	"github.com/dandelionvane/dandelionvane/internal/wire"
 )
 
@@ -21,6 +22,10 @@
 		return false
 	}
 	first := e.measured.IsZero()
+	soleOwner := s.soleOwnerSinceReport(now, e)
+	if !soleOwner && !e.coversDroppedLeases(measured) {
+		return false // the requests of other owners cannot be told from those of the dropped leases
+	}
 	e.measured = measured
 	e.report = r
 	e.restartSuspected = false
@@ -31,7 +36,7 @@
 		cold = s.observeIncarnation(now, e, r.Incarnation)
 	}
 	s.endRamp(e)
-	s.updateForeign(e, r, measured)
+	s.updateForeign(e, r, measured, soleOwner)
 	s.dropLostLeases(now, e, r, measured)
 	s.admitQueued(now, e, out)
 	s.publish(now, e)
@@ -43,18 +48,36 @@
 // it cannot be compared with the count and are ignored.
 func (s *State) OnPause(now time.Time) { s.reportsValidFrom = now.Add(reportAgeTolerance) }
 
+// soleOwnerSinceReport reports whether no other owner can have admitted requests since the last report was
+// measured, or since a later handover: the votes that this router has not held without interruption are too
+// few for another owner to use any part of the limit.
+func (s *State) soleOwnerSinceReport(now time.Time, e *endpoint) bool {
+	since := e.measured
+	if e.handedOverAt.After(since) {
+		since = e.handedOverAt
+	}
+	return !since.IsZero() && ownership.UsableFraction(1-s.owners.VoteShareSince(now, e.res, since)) <= roundingTolerance
+}
+
+// coversDroppedLeases reports whether a report was measured after the foreign load was last raised by
+// dropped leases.
+func (e *endpoint) coversDroppedLeases(measured time.Time) bool {
+	return !measured.Before(e.foreignAddedAt.Add(reportAgeTolerance))
+}
+
 // updateForeign updates the foreign load from a report. The range of the foreign load is the reported
 // load minus the range of the lease count around the measurement, minus the foreign requests whose
 // end was received since. An end received within reportAgeTolerance of the measurement counts only for
 // the lower bound, because the report may or may not include that request.
 //
-// foreignMin is set to the lower bound of that range. foreignMax rises to the lower bound immediately,
-// but falls only if it exceeds the upper bound in foreignDropReports consecutive reports, and then by
-// the smallest excess: a lease whose grant was lost in transit is counted, but its request runs only
-// after the holder has repeated the lease request.
-func (s *State) updateForeign(e *endpoint, r fleet.LoadReport, measured time.Time) {
+// foreignMin is set to the lower bound of that range. foreignMax rises immediately: to the lower bound if
+// soleOwner is set, because leases of this router account for the rest of the range, and otherwise to the
+// upper bound. It falls only if it exceeds the upper bound in foreignDropReports consecutive reports, and
+// then by the smallest excess: a lease whose grant was lost in transit is counted, but its request runs
+// only after the holder has repeated the lease request.
+func (s *State) updateForeign(e *endpoint, r fleet.LoadReport, measured time.Time, soleOwner bool) {
 	// An earlier report does not cover the load of the handover or of the dropped leases.
-	if measured.Before(e.handedOverAt) || measured.Before(e.foreignAddedAt.Add(reportAgeTolerance)) {
+	if measured.Before(e.handedOverAt) || !e.coversDroppedLeases(measured) {
 		return
 	}
 	e.handedOverAt = time.Time{}
@@ -63,7 +86,11 @@
 	low := load - e.history.peak(from, to) - e.formerEnded.countSince(measured)
 	high := load - e.history.trough(from, to) - e.formerEnded.countSince(to)
 	e.foreignMin = max(low, 0)
-	e.foreignMax = max(e.foreignMax, low)
+	if soleOwner {
+		e.foreignMax = max(e.foreignMax, low)
+	} else {
+		e.foreignMax = max(e.foreignMax, high)
+	}
 	e.foreignMax -= e.foreignExcess.add(e.foreignMax-max(high, 0), foreignDropReports)
 }
 
