--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(GO) test -skip '^($(RED))$$' $$($(GO) list ./... | grep -v /e2e$$)
 	$(GO) test ./internal/redeem -run '^TestAtMostOnce$$' -rapid.seed=15658629558992019223
 	$(GO) test ./internal/core -run '^TestRandomFaultsNeverOverloadEndpoints$$' -rapid.seed=17634996736557489341
-	$(GO) test ./internal/core -run '^TestRandomFaultsNeverOverloadEndpoints$$$$' -rapid.seed=13114337583710363091
+	$(GO) test ./internal/core -run '^TestRandomFaultsNeverOverloadEndpoints$$' -rapid.seed=13114337583710363091
 	$(GO) test ./internal/ownership -run '^TestSharesNeverExceedOne$$' -rapid.seed=1
 	$(GO) test ./internal/ownership -run '^TestSharesNeverExceedOne$$' -rapid.seed=13355481057815600805
 	$(GO) test -count=1 ./internal/e2e
