--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -117,9 +117,14 @@
 // indexServices rebuilds the endpoints of each service, in the order of their IDs.
 func (s *State) indexServices() {
 	clear(s.services)
+	var listed []uint32
 	for _, e := range s.endpoints {
 		s.services[e.Service] = append(s.services[e.Service], e)
+		if e.listed {
+			listed = append(listed, e.shortID())
+		}
 	}
+	s.mesh.SetEndpoints(listed)
 	for _, es := range s.services {
 		slices.SortFunc(es, func(a, b *endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	}
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -53,13 +53,13 @@
 }
 
 // unreportedLoad estimates the requests that peers have sent to an endpoint since their last Status.
-// It assumes that each peer sends as much as this process, for half a status interval on average. A
-// single send is no basis for an estimate and gives 0. Sends are recorded for coldSendWindow only, so
-// the estimate is too low in a fleet whose status interval is longer.
+// It assumes that each peer sends as much as this process, for the mean age of its counts. A
+// single send is no basis for an estimate and gives 0. Sends are recorded for coldSendWindow only, which
+// is longer than twice that age in a fleet of any size with aggregators.
 func (s *State) unreportedLoad(now boottime.Instant, e *endpoint) int {
 	recent := 0
 	for _, at := range e.coldStart.recentSends {
-		if now.Sub(at) <= s.mesh.StatusInterval() {
+		if now.Sub(at) <= 2*s.mesh.LoadAge() {
 			recent++
 		}
 	}
@@ -70,12 +70,12 @@
 }
 
 // expectedArrivals returns how many requests for a service the fleet is expected to receive within
-// the mean age of the peers' counts, which is half a status interval. It assumes that each gateway
+// the mean age of the peers' counts. It assumes that each gateway
 // receives as many as this process.
 func (s *State) expectedArrivals(now boottime.Instant, service fleet.ServiceID) float64 {
 	requests, _ := s.retryWindow(service).Counts(now)
 	perSecond := float64(requests*s.fleetSize()) / s.opts.RetryWindow.Seconds()
-	return perSecond * s.mesh.StatusInterval().Seconds() / 2
+	return perSecond * s.mesh.LoadAge().Seconds()
 }
 
 // waterFill distributes an amount over loads so that the lowest ones rise to a common level,
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -139,7 +139,9 @@
 		s.lowerRevision(at, m.Revision)
 		s.noteMirrorConfirmed(now, at)
 	}
-	if s.mirror.Revision() != before || age-s.SnapshotAge(now) > minRelayImprovement {
+	// In a large fleet, the next summary carries a renewed age.
+	renewed := age-s.SnapshotAge(now) > minRelayImprovement && !s.mesh.Aggregated()
+	if s.mirror.Revision() != before || renewed {
 		s.send(s.mesh.Relay(now, from, s.localStatus(now)))
 	}
 }
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -138,12 +138,13 @@
 	}
 	r.reading, r.failures, r.failing, r.fullReadNeeded, r.onDemandPeer = false, 0, false, false, ""
 	r.lastReadDone = now
+	before := s.mirror.Revision()
 	s.noteMirrorConfirmed(now, u.Confirmed)
 	s.apply(now, u)
 	if u.Snapshot {
 		s.noteFullSnapshot(now)
 	}
-	s.send(s.mesh.Broadcast(now, s.localStatus(now)))
+	s.send(s.mesh.Broadcast(now, s.localStatus(now), s.mirror.Revision() != before))
 }
 
 // ReadFailed handles the failure of a ReadStore action. If the store's history no longer covers the
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -99,7 +99,7 @@
 func (s *State) Stop(now boottime.Instant) {
 	s.stopping = true
 	s.peerLoads.statusVersion++
-	s.send(s.mesh.Broadcast(now, s.localStatus(now)))
+	s.send(s.mesh.Broadcast(now, s.localStatus(now), true))
 }
 
 // Limits returns the limits on requests of the current configuration.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -33,16 +33,8 @@
 	// memberRetention is how long a peer that is down stays a member: it counts as a possible
 	// sender to endpoints, and is sent a Status at downPeerInterval.
 	memberRetention = time.Minute
-	// directBroadcastFleetSize is the fleet size up to which changes are broadcast to every
-	// peer directly. In larger fleets they are sent to the peers of the sender's data centre and
-	// to the relays of the others.
-	directBroadcastFleetSize = 16
-	// relaysPerDataCentre is how many gateways of a data centre relay changes from the others.
-	relaysPerDataCentre = 2
 	// readerHashKey is the rendezvous hashing key for the order of the store's readers.
 	readerHashKey = 0x5f3759df
-	// relayHashKey is the rendezvous hashing key for the order of a data centre's relays.
-	relayHashKey = 0x9e3779b9
 )
 
 // Member is a gateway of the fleet.
@@ -51,6 +43,7 @@
 	DataCentre  fleet.DataCentreID `json:"data_centre"`
 	Addr        string             `json:"peer_addr"`    // UDP IP:port
 	ControlAddr string             `json:"control_addr"` // HTTP IP:port
+	CPUMillis   uint32             `json:"cpu_millis"`   // processor share in thousandths of a core, 0: unknown
 }
 
 // Outgoing is a message to be sent to a peer.
@@ -75,11 +68,17 @@
 type peer struct {
 	Member
 	hash         uint64           // of the ID
+	added        boottime.Instant // when it became a member
 	lastKnown    boottime.Instant // when it was added or last received from
 	lastReceived boottime.Instant // when its last Status arrived; zero: never
 	status       wire.Status      // the last one received
 	lastSent     boottime.Instant
 	sentVersion  uint64 // LocalStatus.Version of the last Status sent to it
+	summary      summary
+	nextOffset   int // index of the first count of the next summary sent to it
+
+	watchedSince boottime.Instant // since when regular messages are expected from it, see watches; 0: they are not
+	unresponsive bool             // it was watched and silent; cleared by its next Status
 
 	reportedSuspected   bool              // reported as Suspected, and not as Recovered since
 	reportedStopping    bool              // reported as Stopping
@@ -94,6 +93,9 @@
 	baseTimestamp uint64 // random timestamp of the start
 	peers         map[fleet.InstanceID]*peer
 	sortedPeers   []*peer // the values of peers, sorted by ID
+	roles         *roles  // nil: to be computed
+	endpoints     endpointIndex
+	sentCounts    []sentCounts // of the latest Status messages, oldest first
 }
 
 // timestampBits is the size of the random first timestamp of a process, in milliseconds. It keeps
@@ -109,7 +111,7 @@
 }
 
 func newPeer(m Member, lastKnown boottime.Instant) *peer {
-	return &peer{Member: m, hash: fleet.Hash(string(m.ID)), lastKnown: lastKnown}
+	return &peer{Member: m, hash: fleet.Hash(string(m.ID)), added: lastKnown, lastKnown: lastKnown}
 }
 
 // weight returns the rendezvous hashing weight of a gateway for a key. All gateways compute the
@@ -132,11 +134,15 @@
 			s.add(newPeer(m, now))
 			continue
 		}
-		p.Member = m
+		if p.Member != m {
+			p.Member = m
+			s.roles = nil
+		}
 	}
 }
 
 func (s *State) add(p *peer) {
+	s.roles = nil
 	s.peers[p.ID] = p
 	s.sortedPeers = append(s.sortedPeers, p)
 	slices.SortFunc(s.sortedPeers, func(a, b *peer) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -164,7 +170,7 @@
 // Status has no Hello with its address: the caller must then query a seed.
 func (s *State) Receive(now boottime.Instant, from fleet.InstanceID, inc fleet.Incarnation, m wire.Status) bool {
 	if h := m.Hello; h != nil && s.peers[from] == nil {
-		s.AddMembers(now, []Member{{ID: from, DataCentre: h.DataCentre, Addr: h.Addr, ControlAddr: h.Control}})
+		s.AddMembers(now, []Member{{ID: from, DataCentre: h.DataCentre, Addr: h.Addr, ControlAddr: h.Control, CPUMillis: h.CPUMillis}})
 	}
 	p := s.peers[from]
 	if p == nil {
@@ -176,9 +182,14 @@
 	if inc != p.incarnation {
 		p.previousIncarnation, p.incarnation = p.incarnation, inc
 	}
+	if p.unresponsive || p.status.Stopping != m.Stopping {
+		s.roles = nil
+	}
+	p.unresponsive = false
 	p.status = m
 	p.lastReceived = now
 	p.lastKnown = now
+	s.receiveSummary(now, p, m)
 	return true
 }
 
@@ -204,24 +215,11 @@
 	return time.Duration(min(n, maxMilliseconds)) * time.Millisecond
 }
 
-// StatusInterval returns the minimum time between two Status messages to one peer, which bounds
-// the delay until peers are sent a change.
-func (s *State) StatusInterval() time.Duration {
-	if s.Size() <= smallFleetSize {
-		return minStatusInterval
-	}
-	return time.Duration(len(s.peers)) * statusIntervalPerPeer
-}
-
-// downTimeout returns the time without a message after which a peer counts as down.
-func (s *State) downTimeout() time.Duration { return downAfterIdleIntervals * s.idleInterval() }
-
-// idleInterval returns the time between two Status messages without a change.
-func (s *State) idleInterval() time.Duration { return max(minIdleInterval, s.StatusInterval()) }
-
 // Tick removes expired members and returns the Status messages that are due.
 func (s *State) Tick(now boottime.Instant, l LocalStatus) []Outgoing {
 	s.removeExpired(now)
+	s.watchPeers(now)
+	var all *sums
 	var out []Outgoing
 	for _, p := range s.sortedPeers {
 		if now.Sub(p.lastSent) < s.sendInterval(now, p, l) {
@@ -229,26 +227,37 @@
 		}
 		p.lastSent = now
 		p.sentVersion = l.Version
-		out = append(out, Outgoing{To: p.ID, Addr: p.Addr, Message: s.status(now, p, l)})
+		m := s.status(now, p, l)
+		if s.watches(p) && !p.unresponsive {
+			if all == nil {
+				all = s.computeSums(now, l.InFlight)
+			}
+			m.Summary = s.nextPart(p, all)
+			m.FailureReports = s.forwardedFailures(now, p, l.FailureReports)
+		}
+		out = append(out, Outgoing{To: p.ID, Addr: p.Addr, Message: m})
 	}
 	return out
 }
 
 // Broadcast returns Status messages with the recent changes for the whole fleet: for each live
 // peer of a small fleet, otherwise for the live peers of this gateway's data centre and the
-// relays of the others.
-func (s *State) Broadcast(now boottime.Instant, l LocalStatus) []Outgoing {
-	direct := s.Size() <= directBroadcastFleetSize
+// aggregators of the others. Without a change since the last Broadcast (changed is false), only the
+// aggregators of a large fleet are sent a Status; theirs soon follow to the others.
+func (s *State) Broadcast(now boottime.Instant, l LocalStatus, changed bool) []Outgoing {
+	if !s.aggregated() {
+		return s.statusesWithChanges(now, l, func(*peer) bool { return true })
+	}
 	return s.statusesWithChanges(now, l, func(p *peer) bool {
-		return direct || p.DataCentre == s.self.DataCentre || s.relayRank(now, p) < relaysPerDataCentre
+		return changed && p.DataCentre == s.self.DataCentre || s.isAggregator(p)
 	})
 }
 
 // Relay returns the Status messages that forward changes received from another data centre to
-// the live peers of this gateway's data centre. It returns none if this gateway is not a relay.
+// the live peers of this gateway's data centre. It returns none if this gateway is not an aggregator.
 func (s *State) Relay(now boottime.Instant, from fleet.InstanceID, l LocalStatus) []Outgoing {
 	p := s.peers[from]
-	if s.Size() <= directBroadcastFleetSize || p == nil || p.DataCentre == s.self.DataCentre || s.relayRank(now, s.self) >= relaysPerDataCentre {
+	if !s.aggregated() || p == nil || p.DataCentre == s.self.DataCentre || !s.isAggregator(s.self) {
 		return nil
 	}
 	return s.statusesWithChanges(now, l, func(p *peer) bool { return p.DataCentre == s.self.DataCentre })
@@ -269,35 +278,8 @@
 	return out
 }
 
-// relayRank returns the position of a gateway among the live ones of its data centre in the
-// order of relays, 0 for the first.
-func (s *State) relayRank(now boottime.Instant, gateway *peer) int {
-	ownWeight, rank := gateway.weight(relayHashKey), 0
-	if s.self.DataCentre == gateway.DataCentre && s.self.weight(relayHashKey) > ownWeight {
-		rank++
-	}
-	for _, p := range s.sortedPeers {
-		if p.DataCentre == gateway.DataCentre && s.live(now, p) && !p.status.Stopping && p.weight(relayHashKey) > ownWeight {
-			rank++
-		}
-	}
-	return rank
-}
-
-func (s *State) sendInterval(now boottime.Instant, p *peer, l LocalStatus) time.Duration {
-	switch {
-	case p.lastSent == 0:
-		return 0
-	case !s.live(now, p):
-		return downPeerInterval
-	case p.sentVersion != l.Version:
-		return s.StatusInterval()
-	default:
-		return s.idleInterval()
-	}
-}
-
 func (s *State) status(now boottime.Instant, p *peer, l LocalStatus) wire.Status {
+	s.rememberCounts(now, l.InFlight)
 	m := wire.Status{
 		Timestamp:       s.timestamp(now),
 		Revision:        l.Revision,
@@ -310,7 +292,7 @@
 		m.Echo = p.status.Timestamp
 		m.EchoAgeMS = uint64(now.Sub(p.lastReceived) / time.Millisecond)
 	} else {
-		m.Hello = &wire.Hello{DataCentre: s.self.DataCentre, Addr: s.self.Addr, Control: s.self.ControlAddr}
+		m.Hello = &wire.Hello{DataCentre: s.self.DataCentre, Addr: s.self.Addr, Control: s.self.ControlAddr, CPUMillis: s.self.CPUMillis}
 	}
 	if l.Confirmed != 0 {
 		m.Confirmed = true
@@ -321,18 +303,15 @@
 
 func (s *State) removeExpired(now boottime.Instant) {
 	s.sortedPeers = slices.DeleteFunc(s.sortedPeers, func(p *peer) bool {
-		if now.Sub(p.lastKnown) <= memberRetention {
+		if now.Sub(p.lastKnown) <= s.memberRetention() {
 			return false
 		}
+		s.roles = nil
 		delete(s.peers, p.ID)
 		return true
 	})
 }
 
-func (s *State) live(now boottime.Instant, p *peer) bool {
-	return p.lastReceived != 0 && now.Sub(p.lastReceived) <= s.downTimeout()
-}
-
 // Size returns the number of gateways that may send to endpoints: this one and all members
 // added or received from within memberRetention.
 func (s *State) Size() int { return 1 + len(s.sortedPeers) }
@@ -348,42 +327,46 @@
 	return n
 }
 
-// InFlight returns the sum of the live peers' in-flight requests by endpoint. The key is the low
-// 32 bits of the hash of the endpoint's ID.
-func (s *State) InFlight(now boottime.Instant) map[uint32]int {
-	sum := map[uint32]int{}
-	for _, p := range s.sortedPeers {
-		if !s.live(now, p) {
-			continue
-		}
-		for endpoint, requests := range p.status.InFlight {
-			sum[endpoint] += int(requests)
-		}
-	}
-	return sum
-}
-
 // ReaderRank returns the position of this gateway among the live ones in the order of the
 // store's readers, 0 for the first. storeUnreadable states whether a read of this gateway has
 // failed recently. Stopping gateways are left out, and gateways with a failed read come after
-// the others.
+// the others. In a large fleet the aggregators come before the others, because it is known within a
+// second when one of them is down.
 func (s *State) ReaderRank(now boottime.Instant, storeUnreadable bool) int {
-	ownWeight, rank := s.self.weight(readerHashKey), 0
+	own, rank := s.readerOrder(s.self, storeUnreadable), 0
 	for _, p := range s.sortedPeers {
 		if !s.live(now, p) || p.status.Stopping {
 			continue
 		}
-		readsBefore := p.weight(readerHashKey) > ownWeight
-		if p.status.StoreUnreadable != storeUnreadable {
-			readsBefore = storeUnreadable
-		}
-		if readsBefore {
+		if s.readerOrder(p, p.status.StoreUnreadable).before(own) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// readerOrder is the sort key of a gateway in the order of the store's readers.
+type readerOrder struct {
+	storeUnreadable bool
+	aggregator      bool
+	weight          uint64
+}
+
+func (s *State) readerOrder(p *peer, storeUnreadable bool) readerOrder {
+	return readerOrder{storeUnreadable, s.aggregated() && s.isAggregator(p), p.weight(readerHashKey)}
+}
+
+func (o readerOrder) before(other readerOrder) bool {
+	switch {
+	case o.storeUnreadable != other.storeUnreadable:
+		return other.storeUnreadable
+	case o.aggregator != other.aggregator:
+		return o.aggregator
+	default:
+		return o.weight > other.weight
+	}
+}
+
 // MemberRank returns the position of this gateway among all members, live or not, in the
 // rendezvous order for a key, 0 for the first.
 func (s *State) MemberRank(key uint64) int {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -32,7 +32,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 3_000_000).Draw(t, "us")) * time.Microsecond)
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0: // a Status from a arrives at b without delay
-				for _, o := range a.Broadcast(now, LocalStatus{}) {
+				for _, o := range a.Broadcast(now, LocalStatus{}, true) {
 					b.Receive(now.Add(offset), "a", 1, o.Message.(wire.Status))
 				}
 				if a.LivePeers(now) == 0 { // a has not received from b yet
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -34,6 +34,17 @@
 	FailureReports  []FailureReport
 	Update          *StoreUpdate // latest changes up to Revision; nil: they do not fit, the receiver pulls them
 	Hello           *Hello       // set until the sender has received a message from the receiver
+	Summary         *LoadSummary // from an aggregator: requests in flight of its data centre, or of the fleet for its data centre
+}
+
+// LoadSummary is a part of the sums of requests in flight at endpoints over several gateways. The endpoints
+// are in the order of their short IDs, the low 32 bits of fleet.Hash of their IDs.
+type LoadSummary struct {
+	_        struct{} `cbor:",toarray"`
+	Digest   uint32   // of the short IDs of all endpoints, in order
+	Gateways uint32   // number of gateways whose requests are counted
+	Offset   uint32   // position of the first endpoint of Counts
+	Counts   []byte   // requests at each endpoint, 255: 255 or more
 }
 
 // Hello gives the location and addresses of the sender of a Status to a receiver that may not
@@ -43,6 +54,7 @@
 	DataCentre fleet.DataCentreID
 	Addr       string // address of the sender's messages, IP:port
 	Control    string // control address of the sender, IP:port
+	CPUMillis  uint32 // processor share of the sender in thousandths of a core, 0: unknown
 }
 
 // StoreItem is one key of the platform's store.
