--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -21,7 +21,7 @@
 	// revision from peers while it waits for a peer to report the revision of the last relevant
 	// change, which is one other than a heartbeat. It covers two reads by peers and the delivery
 	// of their messages.
-	revisionWithholdTimeout = time.Second
+	revisionWithholdTimeout = 800 * time.Millisecond
 )
 
 // storeFreshness records how recent the local snapshot of the store is.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -7,7 +7,6 @@
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/mesh"
-	"github.com/dandelionvane/dandelionvane/internal/published"
 	"github.com/dandelionvane/dandelionvane/internal/wire"
 )
 
@@ -21,10 +20,6 @@
 	// seedRefreshInterval is the time between two queries after a seed has replied. These queries
 	// repair a split membership, in which two sets of gateways are unknown to each other.
 	seedRefreshInterval = 10 * time.Second
-	// maxPullBytes bounds the response to a pull from a peer. Larger changes, such as a
-	// configuration, are read from the store, which has the bandwidth to serve the whole fleet; a
-	// peer does not.
-	maxPullBytes = 8 << 10
 	// maxStatusChangesBytes bounds the recent changes in a Status, so that the whole Status fits
 	// into one datagram.
 	maxStatusChangesBytes = 700
@@ -87,6 +82,12 @@
 // Members returns all known gateways, including this one.
 func (s *State) Members() []mesh.Member { return s.mesh.Members() }
 
+// LocalPeers returns the number of other gateways in this gateway's data centre.
+func (s *State) LocalPeers() int { return s.mesh.LocalPeers() }
+
+// MembersDigest returns a digest of Members that does not depend on their order.
+func (s *State) MembersDigest() uint64 { return s.mesh.MembersDigest() }
+
 // logPeerTransitions logs each peer that is suspected, has recovered or is leaving.
 func (s *State) logPeerTransitions(now boottime.Instant) {
 	for _, t := range s.mesh.Transitions(now) {
@@ -133,8 +134,8 @@
 	if m.Update != nil {
 		s.applyUpdate(now, from, *m.Update)
 	}
-	if m.Revision > s.mirror.CoveredRevision() {
-		s.pull(from, maxPullBytes)
+	if m.Revision > s.mirror.CoveredRevision() || s.needsSnapshot(from, m) {
+		s.catchUp(now, from)
 	} else if confirms {
 		s.lowerRevision(at, m.Revision)
 		s.noteMirrorConfirmed(now, at)
@@ -146,53 +147,6 @@
 	}
 }
 
-// pull requests from a peer the changes after the covered revision of the mirror.
-func (s *State) pull(from fleet.InstanceID, maxBytes int) {
-	if m, ok := s.mesh.Member(from); ok {
-		s.emit(PullItems{From: from, Control: m.ControlAddr, After: s.mirror.CoveredRevision(), MaxBytes: maxBytes})
-	}
-}
-
-// ItemsSince returns the changes after a revision, or a full snapshot if the mirror no longer holds all
-// of them, as the response to a peer's pull. If the items exceed maxBytes, TooLarge is set instead.
-func (s *State) ItemsSince(after fleet.Revision, maxBytes int) wire.StoreUpdate {
-	u := s.mirror.Since(after)
-	out := wire.StoreUpdate{Revision: u.Revision, Snapshot: u.Snapshot, After: after}
-	size := 0
-	for _, it := range u.Items {
-		size += len(it.Key) + len(it.Value)
-		out.Items = append(out.Items, wire.StoreItem{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
-	}
-	if size > maxBytes {
-		out.TooLarge, out.Items = true, nil
-	}
-	return out
-}
-
-// PullDone handles the response to a PullItems action.
-func (s *State) PullDone(now boottime.Instant, from fleet.InstanceID, m wire.StoreUpdate) {
-	s.applyUpdate(now, from, m)
-}
-
-// applyUpdate applies the changes received from a peer, unless they are already covered or do not follow
-// on the covered revision. Changes that are too large for a peer are read from the store.
-func (s *State) applyUpdate(now boottime.Instant, from fleet.InstanceID, m wire.StoreUpdate) {
-	covered := s.mirror.CoveredRevision()
-	if m.Revision <= covered || !m.Snapshot && m.After > covered {
-		return
-	}
-	if m.TooLarge {
-		s.scheduleOnDemandRead(now, from)
-		return
-	}
-	u := published.Update{Revision: m.Revision, Snapshot: m.Snapshot, Coalesced: true}
-	for _, it := range m.Items {
-		u.Items = append(u.Items, published.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
-	}
-	s.apply(now, u)
-	s.fullSnapshotAt = 0
-}
-
 // changesForStatus returns the changes after a revision for the next Status, or nil if there
 // are none or they are too large.
 func (s *State) changesForStatus(after fleet.Revision) *wire.StoreUpdate {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -45,6 +45,7 @@
 	// changes.
 	fullSnapshotAt boottime.Instant
 	reader         storeReader
+	pulls          pullState
 	mesh           *mesh.State
 	join           joinState
 	peerLoads      peerLoads
--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -144,7 +144,7 @@
 
 // pull simulates a pull over a connection: it is not subject to loss, but to partitions.
 func (n *Node) pull(action control.PullItems) {
-	w, process := n.World, n.incarnation
+	w, process, sent := n.World, n.incarnation, n.World.Now()
 	from := w.node(action.From)
 	if from == nil || w.partitioned(string(n.ID), string(action.From)) {
 		return
@@ -152,9 +152,10 @@
 	w.After(2*networkDelay, func() {
 		from.run(func() {
 			items := from.State.ItemsSince(action.After, action.MaxBytes)
+			confirmedAt := sent.Add(-from.State.SnapshotAge(w.Now()))
 			w.After(networkDelay, func() {
 				if n.incarnation == process {
-					n.run(func() { n.State.PullDone(w.Now(), action.From, items) })
+					n.run(func() { n.State.PullDone(w.Now(), action.From, items, confirmedAt) })
 				}
 			})
 		})
@@ -199,7 +200,7 @@
 
 func (n *Node) querySeeds() {
 	w := n.World
-	self := mesh.Member{ID: n.ID, DataCentre: n.DataCentre, Addr: string(n.ID), ControlAddr: string(n.ID)}
+	self := n.State.Members()[0]
 	for _, seed := range w.Nodes[:min(seeds, len(w.Nodes))] {
 		if seed == n || w.partitioned(string(n.ID), string(seed.ID)) {
 			continue
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,7 @@
 	storeReads    chan control.ReadStore
 	peers         *gossip.Transport
 	seeds         atomic.Pointer[seedClient]
+	items         itemsCache
 	callerHandler *ingress.Server // handler of callerServer
 	callerServer  *http.Server
 	listenerErrs  chan error
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -25,9 +23,6 @@
 	"github.com/dandelionvane/dandelionvane/internal/wire"
 )
 
-// itemsPath is the path at which a gateway serves the items that it has read from the store.
-const itemsPath = "/v1/items"
-
 // pullTimeout limits a pull from a peer. After a failure, the next Status of a peer triggers
 // another pull.
 const pullTimeout = 2 * time.Second
@@ -65,48 +60,36 @@
 // pull fetches the items that a peer has and this process lacks, and passes them to the control
 // state.
 func (p *process) pull(a control.PullItems) {
-	items, err := p.fetchItems(a)
+	sent := boottime.Now()
+	items, age, err := p.fetchItems(a)
 	p.countPull(items, err)
 	if err != nil {
 		event.LogFields(event.PeerUnreachable, "peer", a.From, "addr", a.Control, "err", err.Error())
 		return
 	}
-	p.loop.Do(func(s *control.State, now boottime.Instant) { s.PullDone(now, a.From, items) })
+	confirmedAt := sent.Add(-age) // not later than the actual time: the peer stated the age after this request was sent
+	p.loop.Do(func(s *control.State, now boottime.Instant) { s.PullDone(now, a.From, items, confirmedAt) })
 }
 
-func (p *process) fetchItems(pull control.PullItems) (wire.StoreUpdate, error) {
+// fetchItems returns the response to a pull, and the age of the peer's copy of the store.
+func (p *process) fetchItems(pull control.PullItems) (wire.StoreUpdate, time.Duration, error) {
 	var update wire.StoreUpdate
 	ctx, cancel := context.WithTimeout(p.ctx, pullTimeout)
 	defer cancel()
 	q := url.Values{"after": {strconv.FormatUint(uint64(pull.After), 10)}, "max_bytes": {strconv.Itoa(pull.MaxBytes)}}
 	resp, err := httpcall.Get(ctx, p.peerHTTPClient, "http://"+pull.Control+itemsPath+"?"+q.Encode(), wire.MaxFrameBytes)
 	if err != nil {
-		return update, errors.Wrap(err, "gateway: pull")
+		return update, 0, errors.Wrap(err, "gateway: pull")
 	}
 	if resp.Status != http.StatusOK {
-		return update, errors.Errorf("gateway: pull returned status %d", resp.Status)
-	}
-	return update, errors.Wrap(cbor.Unmarshal(resp.Body, &update), "gateway: pull")
-}
-
-// serveItems serves the pulls of peers.
-func (p *process) serveItems(w http.ResponseWriter, r *http.Request) {
-	after, errA := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	maxBytes, errB := strconv.Atoi(r.URL.Query().Get("max_bytes"))
-	if errA != nil || errB != nil {
-		http.Error(w, "want after and max_bytes as numbers", http.StatusBadRequest)
-		return
+		return update, 0, errors.Errorf("gateway: pull returned status %d", resp.Status)
 	}
-	var items wire.StoreUpdate
-	p.loop.Do(func(s *control.State, _ boottime.Instant) {
-		items = s.ItemsSince(fleet.Revision(after), min(maxBytes, wire.MaxFrameBytes/2))
-	})
-	b, err := cbor.Marshal(items)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+	ageMS, err := strconv.ParseInt(resp.Header.Get(snapshotAgeHeader), 10, 64)
+	if err != nil || ageMS < 0 {
+		return update, 0, errors.Errorf("gateway: pull without %s", snapshotAgeHeader)
 	}
-	_, _ = io.Copy(w, bytes.NewReader(b)) // fails only if the peer has disconnected
+	age := time.Duration(min(ageMS, maxSnapshotAgeMS)) * time.Millisecond
+	return update, age, errors.Wrap(cbor.Unmarshal(resp.Body, &update), "gateway: pull")
 }
 
 // controlHandler returns the handler of the control address, which serves other gateways.
--- a/internal/gateway/seeds.go
+++ b/internal/gateway/seeds.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,8 +25,9 @@
 
 const (
 	seedQueryTimeout   = time.Second
-	maxMemberListBytes = 1 << 20 // of the response to a seed query
-	maxSeedQueryBytes  = 4 << 10 // of the body of a seed query
+	seedHedgeDelay     = 200 * time.Millisecond // without a response of a seed, before the next one is queried too
+	maxMemberListBytes = 1 << 20                // of the response to a seed query
+	maxSeedQueryBytes  = 4 << 10                // of the body of a seed query
 )
 
 // seedClient queries the seeds of the settings: it announces this process to a seed and gets the
@@ -45,12 +48,13 @@
 	return c
 }
 
-func (c *seedClient) query(ctx context.Context, addr string) ([]mesh.Member, error) {
+// query returns the members of a seed, or none if they have the given digest.
+func (c *seedClient) query(ctx context.Context, addr string, digest uint64) ([]mesh.Member, error) {
 	self, err := json.Marshal(c.self)
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway: encode member")
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+membersPath, bytes.NewReader(self))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+membersPath+"?digest="+formatDigest(digest), bytes.NewReader(self))
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway: query a seed")
 	}
@@ -59,6 +63,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway: query a seed")
 	}
+	if resp.Status == http.StatusNoContent {
+		return nil, nil
+	}
 	if resp.Status != http.StatusOK {
 		return nil, errors.Errorf("gateway: seed %s returned status %d", addr, resp.Status)
 	}
@@ -66,23 +73,43 @@
 	return members, errors.Wrapf(json.Unmarshal(resp.Body, &members), "gateway: decode members of seed %s", addr)
 }
 
-// querySeeds queries all seeds concurrently and passes each member list to the control state as it
-// arrives.
+func formatDigest(d uint64) string { return strconv.FormatUint(d, 16) }
+
+// querySeeds queries the seeds in random order, until one has responded, and passes its members to the
+// control state. A seed that does not respond within seedHedgeDelay delays the next one by no more than
+// that.
 func (p *process) querySeeds() {
 	seeds := p.seeds.Load()
-	for _, addr := range seeds.addrs {
-		p.wg.Go(func() {
-			members, err := seeds.query(p.ctx, addr)
-			if err != nil {
-				event.LogFields(event.SeedUnreachable, "addr", addr, "err", err.Error())
+	var digest uint64
+	p.loop.Do(func(s *control.State, _ boottime.Instant) { digest = s.MembersDigest() })
+	done := make(chan bool, len(seeds.addrs)) // a seed's response arrived, or its query failed
+	for _, i := range rand.Perm(len(seeds.addrs)) {
+		p.wg.Go(func() { done <- p.querySeed(seeds, seeds.addrs[i], digest) })
+		select {
+		case ok := <-done:
+			if ok {
 				return
 			}
-			p.loop.Do(func(s *control.State, now boottime.Instant) { s.SeedReplied(now, members) })
-		})
+		case <-time.After(seedHedgeDelay):
+		case <-p.ctx.Done():
+			return
+		}
 	}
 }
 
-// serveSeedQuery adds the sender of a seed query to the members and responds with the member list.
+// querySeed queries one seed and reports whether it responded.
+func (p *process) querySeed(seeds *seedClient, addr string, digest uint64) bool {
+	members, err := seeds.query(p.ctx, addr, digest)
+	if err != nil {
+		event.LogFields(event.SeedUnreachable, "addr", addr, "err", err.Error())
+		return false
+	}
+	p.loop.Do(func(s *control.State, now boottime.Instant) { s.SeedReplied(now, members) })
+	return true
+}
+
+// serveSeedQuery adds the sender of a seed query to the members and responds with the member list, or
+// without content if the sender has the same members.
 func (p *process) serveSeedQuery(w http.ResponseWriter, r *http.Request) {
 	var joining mesh.Member
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxSeedQueryBytes)).Decode(&joining); err != nil {
@@ -90,10 +117,15 @@
 		return
 	}
 	var members []mesh.Member
+	var digest uint64
 	p.loop.Do(func(s *control.State, now boottime.Instant) {
 		s.SeedQueried(now, joining)
-		members = s.Members()
+		members, digest = s.Members(), s.MembersDigest()
 	})
+	if r.URL.Query().Get("digest") == formatDigest(digest) {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	writeJSON(w, members)
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -20,6 +20,8 @@
 	Peers       Peers
 	Store       Store
 	Bounds      Bounds
+	CPUMillis   uint32  // processor share in thousandths of a core, 0: unknown
+	LinkMbps    float64 // bandwidth of the instance's link in Mbit/s, 0: unknown
 }
 
 // Listen holds the TCP listen addresses of the process, each IP:port.
@@ -82,7 +84,7 @@
 
 // member returns the entry of this process in the member list.
 func (s *Settings) member() mesh.Member {
-	return mesh.Member{ID: s.Instance, DataCentre: s.DataCentre, Addr: s.Peers.Addr, ControlAddr: s.Listen.Control}
+	return mesh.Member{ID: s.Instance, DataCentre: s.DataCentre, Addr: s.Peers.Addr, ControlAddr: s.Listen.Control, CPUMillis: s.CPUMillis}
 }
 
 // controlOptions returns the options of the control state.
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -15,6 +15,7 @@
 // Response is the status and the whole body of a response.
 type Response struct {
 	Status int
+	Header http.Header
 	Body   []byte
 }
 
@@ -41,5 +42,5 @@
 	if int64(len(b)) > maxBytes {
 		return Response{}, ErrTooLarge
 	}
-	return Response{Status: resp.StatusCode, Body: b}, nil
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: b}, nil
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -166,6 +167,19 @@
 	return ms
 }
 
+// MembersDigest returns a digest of Members that does not depend on their order.
+func (s *State) MembersDigest() uint64 {
+	digest := s.self.digest()
+	for _, p := range s.sortedPeers {
+		digest ^= p.digest()
+	}
+	return digest
+}
+
+func (m *Member) digest() uint64 {
+	return fleet.Hash(fmt.Sprintf("%s\x00%s\x00%s\x00%s\x00%d", m.ID, m.DataCentre, m.Addr, m.ControlAddr, m.CPUMillis))
+}
+
 // Receive handles a peer's Status. It returns false if the sender is not a member and the
 // Status has no Hello with its address: the caller must then query a seed.
 func (s *State) Receive(now boottime.Instant, from fleet.InstanceID, inc fleet.Incarnation, m wire.Status) bool {
--- a/internal/mesh/roles.go
+++ b/internal/mesh/roles.go
@@ -93,6 +93,26 @@
 	return contains(s.currentRoles().aggregators[p.DataCentre], p)
 }
 
+// IsAggregator reports whether this gateway is an aggregator of a large fleet.
+func (s *State) IsAggregator() bool { return s.aggregated() && s.isAggregator(s.self) }
+
+// IsLocalAggregator reports whether a peer is an aggregator of this gateway's data centre in a large fleet.
+func (s *State) IsLocalAggregator(id fleet.InstanceID) bool {
+	p := s.peers[id]
+	return p != nil && p.DataCentre == s.self.DataCentre && s.aggregated() && s.isAggregator(p)
+}
+
+// LocalPeers returns the number of peers in this gateway's data centre.
+func (s *State) LocalPeers() int {
+	n := 0
+	for _, p := range s.sortedPeers {
+		if p.DataCentre == s.self.DataCentre {
+			n++
+		}
+	}
+	return n
+}
+
 // isFirstAggregator reports whether this gateway is the aggregator that sends the sums of its data
 // centre.
 func (s *State) isFirstAggregator() bool {
--- a/internal/mesh/schedule.go
+++ b/internal/mesh/schedule.go
@@ -44,13 +44,7 @@
 
 // summaryInterval returns the time between two summaries of an aggregator to one peer.
 func (s *State) summaryInterval() time.Duration {
-	watched := 0
-	for _, p := range s.sortedPeers {
-		if p.DataCentre == s.self.DataCentre {
-			watched++
-		}
-	}
-	return max(aggregationInterval, time.Duration(watched)*aggregationIntervalPerPeer)
+	return max(aggregationInterval, time.Duration(s.LocalPeers())*aggregationIntervalPerPeer)
 }
 
 // downTimeout returns the time without a message after which a peer counts as down.
--- a/internal/mesh/summary.go
+++ b/internal/mesh/summary.go
@@ -103,8 +103,8 @@
 }
 
 // InFlight returns the sum of the peers' requests in flight by endpoint. The key is the low 32 bits of
-// the hash of the endpoint's ID. An aggregator adds up the gateways of its data centre and the summaries
-// of the others. Every other gateway uses the sum that an aggregator of its data centre has sent; without
+// the hash of the endpoint's ID. The first aggregator of a data centre adds up its gateways and the
+// summaries of the other data centres. Every other gateway uses the sum that an aggregator of its data centre has sent; without
 // one, and in a small fleet, it adds up the gateways from which it has heard.
 func (s *State) InFlight(now boottime.Instant) map[uint32]int {
 	if !s.aggregated() {
@@ -113,7 +113,7 @@
 		return sum
 	}
 	best := s.bestSummaries(now)
-	if own := best[s.self.DataCentre]; own != nil && !s.isAggregator(s.self) {
+	if own := best[s.self.DataCentre]; own != nil && !s.isFirstAggregator() {
 		return s.withoutOwn(own)
 	}
 	sum, _ := s.fleetSum(now, best)
