--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -18,6 +18,10 @@
 // timeout.
 const defaultRequestTimeout = time.Minute
 
+// endedRetryAfter is the retry-after of requests that arrive when the event loop has ended, shortly before
+// the end of the process. Other gateways serve them.
+const endedRetryAfter = 100 * time.Millisecond
+
 // defaultMaxBodyBytes limits the request body if the published limits don't.
 const defaultMaxBodyBytes = 4 << 20
 
@@ -60,6 +64,8 @@
 }
 
 func (c *call) admit() {
+	// The result if the event loop has ended.
+	c.admission = control.Admission{Reason: control.ReasonNoConfig, RetryAfter: endedRetryAfter}
 	c.s.control.Do(func(st *control.State, now boottime.Instant) {
 		c.admission = st.Admit(now, control.AdmissionRequest{
 			Host:          c.r.Host,
@@ -198,7 +204,9 @@
 	return control.ReasonNone
 }
 
-func (c *call) place() (p control.Placement) {
+func (c *call) place() control.Placement {
+	// The result if the event loop has ended.
+	p := control.Placement{Reason: control.ReasonNoEndpoint, RetryAfter: endedRetryAfter}
 	c.s.control.Do(func(st *control.State, now boottime.Instant) {
 		p = st.Place(now, control.PlacementRequest{Service: c.admission.Service, Affinity: c.affinityKey, Tried: c.triedEndpoints})
 	})
