--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -105,6 +105,9 @@
 	if s.mirror.Revision() == 0 {
 		return 0
 	}
+	if s.SnapshotAge(now) < readThresholdBase {
+		return readThresholdBase // regardless of the order
+	}
 	r := &s.reader
 	if r.thresholdJitter == 0 {
 		r.thresholdJitter = 1 + time.Duration(s.rng.Int64N(int64(readThresholdJitter)))
--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -162,14 +162,7 @@
 	})
 }
 
-func (w *World) node(id fleet.InstanceID) *Node {
-	for _, n := range w.Nodes {
-		if n.ID == id {
-			return n
-		}
-	}
-	return nil
-}
+func (w *World) node(id fleet.InstanceID) *Node { return w.nodesByID[id] }
 
 // read simulates a store read. The response is the store's content when the request arrived.
 func (n *Node) read(action control.ReadStore) {
--- a/internal/controltest/world.go
+++ b/internal/controltest/world.go
@@ -44,7 +44,8 @@
 	Options     func(o *control.Options) // adjusts the options of each gateway; may be nil
 	OnLog       func(n *Node, l control.Log)
 
-	rng *rand.Rand
+	rng       *rand.Rand
+	nodesByID map[fleet.InstanceID]*Node
 }
 
 // New returns a simulation with the given number of gateways per data centre, named a-1, a-2,
@@ -54,6 +55,7 @@
 		Store:     publishedtest.NewStore(),
 		Endpoints: map[fleet.EndpointID]*Endpoint{},
 		rng:       rand.New(rand.NewPCG(seed, 1)),
+		nodesByID: map[fleet.InstanceID]*Node{},
 	}
 	for dc, n := range perDataCentre {
 		for i := range n {
@@ -68,6 +70,7 @@
 	id := fleet.InstanceID(fmt.Sprintf("%s-%d", dc, n))
 	node := &Node{World: w, ID: id, DataCentre: dc}
 	w.Nodes = append(w.Nodes, node)
+	w.nodesByID[id] = node
 	node.Start()
 	return node
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -79,6 +79,7 @@
 	nextOffset   int // index of the first count of the next summary sent to it
 
 	watchedSince boottime.Instant // since when regular messages are expected from it, see watches; 0: they are not
+	aggregator   bool             // as of State.roles
 	unresponsive bool             // it was watched and silent; cleared by its next Status
 
 	reportedSuspected   bool              // reported as Suspected, and not as Recovered since
--- a/internal/mesh/roles.go
+++ b/internal/mesh/roles.go
@@ -28,6 +28,7 @@
 type roles struct {
 	aggregators map[fleet.DataCentreID][]*peer // without unresponsive and stopping gateways
 	preferred   map[fleet.DataCentreID][]*peer // including them
+	localPeers  int                            // peers in the data centre of this gateway
 }
 
 // Aggregated reports whether the fleet is large enough for aggregators.
@@ -45,11 +46,20 @@
 	s.roles.add(s.self, true)
 	for _, p := range s.sortedPeers {
 		s.roles.add(p, !p.unresponsive && !p.status.Stopping)
+		if p.DataCentre == s.self.DataCentre {
+			s.roles.localPeers++
+		}
+	}
+	for _, ranked := range s.roles.aggregators {
+		for _, p := range ranked {
+			p.aggregator = true
+		}
 	}
 	return s.roles
 }
 
 func (r *roles) add(p *peer, available bool) {
+	p.aggregator = false
 	r.preferred[p.DataCentre] = insertRanked(r.preferred[p.DataCentre], p)
 	if available {
 		r.aggregators[p.DataCentre] = insertRanked(r.aggregators[p.DataCentre], p)
@@ -90,7 +100,8 @@
 
 // isAggregator reports whether a gateway is an aggregator of its data centre.
 func (s *State) isAggregator(p *peer) bool {
-	return contains(s.currentRoles().aggregators[p.DataCentre], p)
+	s.currentRoles()
+	return p.aggregator
 }
 
 // IsAggregator reports whether this gateway is an aggregator of a large fleet.
@@ -104,13 +115,7 @@
 
 // LocalPeers returns the number of peers in this gateway's data centre.
 func (s *State) LocalPeers() int {
-	n := 0
-	for _, p := range s.sortedPeers {
-		if p.DataCentre == s.self.DataCentre {
-			n++
-		}
-	}
-	return n
+	return s.currentRoles().localPeers
 }
 
 // isFirstAggregator reports whether this gateway is the aggregator that sends the sums of its data
