--- a/internal/control/fleet_bench_test.go
+++ b/internal/control/fleet_bench_test.go
@@ -16,7 +16,7 @@
 // and reports the cost of one gateway per second. Its results are the figures of docs/CAPACITY.md.
 func BenchmarkFleet(b *testing.B) {
 	const span, perGateway = 10 * time.Second, 2300.0 / 410
-	for _, size := range []int{9, 27, 83, 164, 410} {
+	for _, size := range []int{9, 27, 83, 164, 295, 410} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			for b.Loop() {
 				benchFleet(b, size, span, perGateway)
