--- a/internal/control/aggregation_test.go
+++ b/internal/control/aggregation_test.go
@@ -326,3 +326,39 @@
 	})
 	w.Run(time.Second)
 }
+
+// TestFailingReplicaIsAvoidedFleetWide: one of six replicas of a plain service answers every request with a
+// failure, of a load of which each of 295 gateways sends it a request every four seconds. From one second on,
+// it gets at most a quarter of its usual share. Once it is sound again, it gets its share within ten seconds.
+func TestFailingReplicaIsAvoidedFleetWide(t *testing.T) {
+	const rate, replicas = 460, 6
+	w := hugeFleet(t)
+	for i := range replicas {
+		w.Publish(replica(i, fleet.DataCentreID(rune('a'+i))))
+	}
+	w.Run(2 * convergenceTime)
+	countFailed := func(span time.Duration) (failed, at int) {
+		target := w.Endpoints["desk-2"]
+		before := len(target.Arrivals)
+		sendLoad(w, rate, w.Now().Add(span), func() controltest.Request { return bookRequest }, func(o controltest.Outcome) {
+			if o.Failed {
+				failed++
+			}
+		})
+		w.Run(span)
+		return failed, len(target.Arrivals) - before
+	}
+	countFailed(3 * time.Second)
+	w.Endpoints["desk-2"].Failing = true
+	countFailed(time.Second)
+	failed, _ := countFailed(5 * time.Second)
+	if share := rate / replicas * 5; failed > share/4 {
+		t.Errorf("%d requests failed in 5 s, the replica's share is %d", failed, share)
+	}
+	t.Logf("%d requests failed in 5 s", failed)
+	w.Endpoints["desk-2"].Failing = false
+	countFailed(10 * time.Second)
+	if _, at := countFailed(5 * time.Second); at < rate/replicas*5/2 {
+		t.Errorf("the sound replica got %d requests in 5 s, its share is %d", at, rate/replicas*5)
+	}
+}
--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -32,6 +32,7 @@
 	probeRequested        bool // a request might have been sent to it if it were not down
 	coldStart             coldStart
 	health                health
+	outlier               outlierState
 }
 
 // shortID is the form of the endpoint's ID in messages to peers.
@@ -47,6 +48,7 @@
 	if e.Addr != rec.Addr || e.Incarnation != rec.Incarnation {
 		e.addrReused = false
 		e.health = health{}
+		e.outlier = outlierState{}
 		e.incarnationKnownSince = now
 	}
 	if e.Leaving != rec.Leaving || !e.listed {
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -101,6 +101,8 @@
 		h.lastSuccess = now
 		return
 	}
+	e.outlier.recordFailure(now)
+	s.peerLoads.statusVersion++
 	h.failureRate += failureResultWeight * (1 - h.failureRate)
 	if h.failureRate > failureRateLimit && now.Sub(h.avoidUntil) >= 0 {
 		h.avoidUntil = now.Add(failureAvoidInterval)
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -99,8 +99,8 @@
 }
 
 // ownInFlight returns the in-flight requests of this process by endpoint, as sent to peers.
-func (s *State) ownInFlight() wire.InFlight {
-	out := wire.InFlight{}
+func (s *State) ownInFlight() wire.Counts {
+	out := wire.Counts{}
 	for _, e := range s.endpoints {
 		if e.inFlight > 0 {
 			out[e.shortID()] = uint16(min(e.inFlight, math.MaxUint16))
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -168,6 +168,7 @@
 		Stopping:        s.stopping,
 		StoreUnreadable: s.reader.failedRecently(now),
 		InFlight:        s.ownInFlight(),
+		Failed:          s.ownFailed(now),
 		FailureReports:  s.ownFailureReports(now),
 		RecentChanges:   s.recentChanges,
 		Version:         s.peerLoads.statusVersion,
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -56,6 +56,7 @@
 	services          map[fleet.ServiceID][]*endpoint // in the order of their IDs
 	retryWindows      map[fleet.ServiceID]*retry.Window
 	retrySuccessRates map[fleet.ServiceID]float64 // moving average of the success of retries after endpoints' own failures
+	outliersCheckedAt boottime.Instant
 	stopping          bool
 }
 
@@ -88,6 +89,7 @@
 	s.tickJoining(now)
 	s.logPeerTransitions(now)
 	s.tickEndpoints(now)
+	s.checkOutliers(now)
 	s.send(s.mesh.Tick(now, s.localStatus(now)))
 }
 
--- a/internal/controltest/request.go
+++ b/internal/controltest/request.go
@@ -16,6 +16,7 @@
 	Slots       int
 	Down        bool // it refuses connections
 	Blackholed  bool // it does not reply to anything
+	Failing     bool // it responds with a failure of its own
 	InFlight    int
 	Arrivals    []boottime.Instant
 
@@ -34,6 +35,7 @@
 type Outcome struct {
 	Reason   control.Reason // why it was not served
 	Endpoint *Endpoint      // endpoint that answered it; nil: none
+	Failed   bool           // the answer is a failure of the endpoint
 	Attempts int            // requests sent to endpoints
 	At       boottime.Instant
 
@@ -96,10 +98,14 @@
 	w.After(e.enqueue(w.Now()), func() {
 		e.InFlight--
 		o.At = w.Now()
+		result := control.ResponseComplete
+		if e.Failing {
+			result, o.Failed = control.EndpointFailed, true
+		}
 		done(o)
 		w.After(networkDelay, func() {
 			if n.incarnation == process {
-				n.run(func() { n.State.AttemptEnded(w.Now(), attempt, control.ResponseComplete) })
+				n.run(func() { n.State.AttemptEnded(w.Now(), attempt, result) })
 			}
 		})
 	})
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -60,7 +60,8 @@
 	Confirmed       boottime.Instant // when the copy of the store was last confirmed to be current; zero: never
 	Stopping        bool
 	StoreUnreadable bool // a read of the store has failed recently
-	InFlight        wire.InFlight
+	InFlight        wire.Counts
+	Failed          wire.Counts // recent failures of endpoints
 	FailureReports  []wire.FailureReport
 	RecentChanges   *wire.StoreUpdate // sent by Broadcast and Relay; nil: there are none, or they don't fit in a Status
 	Version         uint64            // rises with each change of a field above, except Confirmed
@@ -245,7 +246,7 @@
 		m := s.status(now, p, l)
 		if s.watches(p) && !p.unresponsive {
 			if all == nil {
-				all = s.computeSums(now, l.InFlight)
+				all = s.computeSums(now, l)
 			}
 			m.Summary = s.nextPart(p, all)
 			m.FailureReports = s.forwardedFailures(now, p, l.FailureReports)
@@ -301,6 +302,7 @@
 		Stopping:        l.Stopping,
 		StoreUnreadable: l.StoreUnreadable,
 		InFlight:        l.InFlight,
+		Failed:          l.Failed,
 		FailureReports:  l.FailureReports,
 	}
 	if p.lastReceived != 0 {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -131,7 +131,7 @@
 func TestRestartedPeer(t *testing.T) {
 	s := New(start, Member{ID: "self"}, 1)
 	s.AddMembers(start, []Member{{ID: "p", Addr: "x"}})
-	load := func(n uint16) wire.InFlight { return wire.InFlight{7: n} }
+	load := func(n uint16) wire.Counts { return wire.Counts{7: n} }
 	s.Receive(start, "p", 1, wire.Status{Timestamp: 100, InFlight: load(5)})
 	s.Receive(start, "p", 2, wire.Status{Timestamp: 1, InFlight: load(1)})
 	s.Receive(start, "p", 1, wire.Status{Timestamp: 101, InFlight: load(6)})
@@ -153,7 +153,7 @@
 func TestSilentPeers(t *testing.T) {
 	s := New(start, Member{ID: "self"}, 1)
 	s.AddMembers(start, []Member{{ID: "p", Addr: "x"}})
-	s.Receive(start, "p", 1, wire.Status{Timestamp: 1, InFlight: wire.InFlight{7: 5}})
+	s.Receive(start, "p", 1, wire.Status{Timestamp: 1, InFlight: wire.Counts{7: 5}})
 	for _, tc := range []struct {
 		after          time.Duration
 		live, size, at int
--- a/internal/mesh/summary.go
+++ b/internal/mesh/summary.go
@@ -24,6 +24,10 @@
 	maxSentCounts = 32
 	// forwardedFailureTTL is the age up to which aggregators forward a failure report.
 	forwardedFailureTTL = time.Second
+	// failedCountTTL is how long the failures that a peer reports count.
+	failedCountTTL = time.Second
+	// maxFailedEndpoints bounds the endpoints whose failures are sent in one Status.
+	maxFailedEndpoints = 40
 	// maxForwardedFailures bounds the failure reports of one Status.
 	maxForwardedFailures = 24
 )
@@ -52,6 +56,7 @@
 	ids      []uint32 // endpoints of counts
 	digest   uint32   // of ids
 	counts   []byte
+	failed   wire.Counts      // failures of endpoints
 	gateways uint32           // gateways whose requests are counted
 	echo     uint64           // timestamp of the latest Status of this gateway that is counted
 	at       boottime.Instant // when its latest part arrived; zero: never
@@ -72,7 +77,7 @@
 		*sum = summary{ids: s.endpoints.ids, digest: part.Digest, counts: make([]byte, n)}
 	}
 	copy(sum.counts[part.Offset:], part.Counts)
-	sum.gateways, sum.echo, sum.at = part.Gateways, m.Echo, now
+	sum.failed, sum.gateways, sum.echo, sum.at = part.Failed, part.Gateways, m.Echo, now
 }
 
 // betterThan orders the summaries of one data centre: fresh ones with more gateways come first.
@@ -162,11 +167,11 @@
 // sentCounts is the content of a Status that this gateway has sent.
 type sentCounts struct {
 	timestamp uint64
-	inFlight  wire.InFlight
+	inFlight  wire.Counts
 }
 
 // rememberCounts keeps the counts of a Status that is sent at now.
-func (s *State) rememberCounts(now boottime.Instant, f wire.InFlight) {
+func (s *State) rememberCounts(now boottime.Instant, f wire.Counts) {
 	at := s.timestamp(now)
 	if n := len(s.sentCounts); n > 0 && s.sentCounts[n-1].timestamp == at {
 		s.sentCounts[n-1].inFlight = f
@@ -205,24 +210,26 @@
 
 type sumOf struct {
 	counts   []byte
+	failed   wire.Counts
 	gateways uint32
 }
 
 // computeSums returns the sums to be sent, or nil unless this gateway is the first aggregator of its data
 // centre.
-func (s *State) computeSums(now boottime.Instant, own wire.InFlight) *sums {
+func (s *State) computeSums(now boottime.Instant, own LocalStatus) *sums {
 	if !s.aggregated() || !s.isFirstAggregator() {
 		return nil
 	}
 	local, localGateways := s.fleetSum(now, nil)
-	fleetWide, gateways := s.fleetSum(now, s.bestSummaries(now))
-	for endpoint, n := range own {
+	best := s.bestSummaries(now)
+	fleetWide, gateways := s.fleetSum(now, best)
+	for endpoint, n := range own.InFlight {
 		local[endpoint] += int(n)
 		fleetWide[endpoint] += int(n)
 	}
 	return &sums{
-		fleet:      sumOf{s.endpoints.pack(fleetWide), uint32(gateways + 1)},
-		dataCentre: sumOf{s.endpoints.pack(local), uint32(localGateways + 1)},
+		fleet:      sumOf{s.endpoints.pack(fleetWide), s.failedSum(now, own.Failed, best), uint32(gateways + 1)},
+		dataCentre: sumOf{s.endpoints.pack(local), s.failedSum(now, own.Failed, nil), uint32(localGateways + 1)},
 	}
 }
 
@@ -249,7 +256,46 @@
 	}
 	from, to := p.nextOffset, min(p.nextOffset+maxSummaryCounts, len(sum.counts))
 	p.nextOffset = to
-	return &wire.LoadSummary{Digest: s.endpoints.digest, Gateways: sum.gateways, Offset: uint32(from), Counts: sum.counts[from:to]}
+	return &wire.LoadSummary{Digest: s.endpoints.digest, Gateways: sum.gateways, Offset: uint32(from), Counts: sum.counts[from:to], Failed: sum.failed}
+}
+
+// Failed returns the recent failures of endpoints that the fleet has seen, including this gateway's own, by
+// the low 32 bits of the hash of the endpoint's ID.
+func (s *State) Failed(now boottime.Instant, own wire.Counts) wire.Counts {
+	if !s.aggregated() {
+		return s.failedSum(now, own, nil)
+	}
+	best := s.bestSummaries(now)
+	if local := best[s.self.DataCentre]; local != nil && !s.isFirstAggregator() {
+		return local.failed
+	}
+	return s.failedSum(now, own, best)
+}
+
+// failedSum adds up the failures that this gateway, its peers and the summaries of other data centres report.
+// In a large fleet, only peers of the same data centre are added. At most maxFailedEndpoints are returned.
+func (s *State) failedSum(now boottime.Instant, own wire.Counts, best map[fleet.DataCentreID]*summary) wire.Counts {
+	sum := wire.Counts{}
+	add := func(counts wire.Counts) {
+		for endpoint, n := range counts {
+			if _, known := sum[endpoint]; known || len(sum) < maxFailedEndpoints {
+				sum[endpoint] = uint16(min(int(sum[endpoint])+int(n), math.MaxUint16))
+			}
+		}
+	}
+	add(own)
+	for _, p := range s.sortedPeers {
+		if p.lastReceived == 0 || now.Sub(p.lastReceived) > failedCountTTL || s.aggregated() && p.DataCentre != s.self.DataCentre {
+			continue
+		}
+		add(p.status.Failed)
+	}
+	for dc, remote := range best {
+		if dc != s.self.DataCentre && now.Sub(remote.at) <= failedCountTTL {
+			add(remote.failed)
+		}
+	}
+	return sum
 }
 
 // forwardedFailures returns the failure reports to be sent to a peer: those of this gateway and, if it is
--- a/internal/mesh/summary_test.go
+++ b/internal/mesh/summary_test.go
@@ -83,7 +83,7 @@
 			if n.state == nil || sim.now.Before(n.pausedUntil) {
 				continue
 			}
-			l := LocalStatus{InFlight: wire.InFlight{testEndpoint: 1}, Version: uint64(sim.now)}
+			l := LocalStatus{InFlight: wire.Counts{testEndpoint: 1}, Version: uint64(sim.now)}
 			for _, o := range n.state.Tick(sim.now, l) {
 				sim.send(i, sim.index(o.To), n.incarnation, o.Message.(wire.Status))
 			}
@@ -188,7 +188,7 @@
 func TestSummaryParts(t *testing.T) {
 	const endpoints = 2*maxSummaryCounts + 10
 	var ids []uint32
-	counts := wire.InFlight{}
+	counts := wire.Counts{}
 	for id := range uint32(endpoints) {
 		ids = append(ids, id)
 		counts[id] = uint16(1 + id%200)
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -2,9 +2,9 @@
 
 import "github.com/dandelionvane/dandelionvane/internal/fleet"
 
-// InFlight is the number of requests that a gateway has in flight at each endpoint, keyed by
-// the low 32 bits of fleet.Hash of the endpoint's ID.
-type InFlight map[uint32]uint16
+// Counts is a number of requests for each endpoint, keyed by the low 32 bits of fleet.Hash of the endpoint's
+// ID.
+type Counts map[uint32]uint16
 
 // FailureReport reports that a gateway could not reach an endpoint.
 type FailureReport struct {
@@ -29,11 +29,12 @@
 	Confirmed       bool   // a read of the store has confirmed Revision
 	ConfirmedAgeMS  uint64 // since the sender issued its last read of the store that confirmed Revision
 	Stopping        bool
-	StoreUnreadable bool // the sender's last read of the store failed recently
-	InFlight        InFlight
+	StoreUnreadable bool   // the sender's last read of the store failed recently
+	InFlight        Counts // requests in flight at endpoints
 	FailureReports  []FailureReport
 	Update          *StoreUpdate // latest changes up to Revision; nil: they do not fit, the receiver pulls them
 	Hello           *Hello       // set until the sender has received a message from the receiver
+	Failed          Counts       // results of requests that were failures of endpoints, in the last seconds
 	Summary         *LoadSummary // from an aggregator: requests in flight of its data centre, or of the fleet for its data centre
 }
 
@@ -45,6 +46,7 @@
 	Gateways uint32   // number of gateways whose requests are counted
 	Offset   uint32   // position of the first endpoint of Counts
 	Counts   []byte   // requests at each endpoint, 255: 255 or more
+	Failed   Counts   // sum of Status.Failed
 }
 
 // Hello gives the location and addresses of the sender of a Status to a receiver that may not
