--- a/internal/cli/certs.go
+++ b/internal/cli/certs.go
@@ -31,7 +31,7 @@
 none. Don't copy ca-key.pem to the instances: each needs only ca.pem and its own two files.
 
 Example:
-  dandelionvane certs --out certs --instances coulee-a-1,coulee-a-2
+  dandelionvane certs --out examples/coulee/certs --instances north-1,north-2
 
 Flags:
 `
--- a/internal/cli/router.go
+++ b/internal/cli/router.go
@@ -28,7 +28,7 @@
 requests in progress and exits with 0.
 
 Example:
-  dandelionvane router --settings examples/coulee/settings/coulee-a-1.toml
+  dandelionvane router --settings examples/coulee/settings/north-1.toml
 
 Flags:
 `
--- a/internal/redeem/handover_restart_test.go
+++ b/internal/redeem/handover_restart_test.go
@@ -56,3 +56,16 @@
 	reply, _ := s.OnRedeem(t0, "x", m, nil)
 	return reply.Result
 }
+
+// TestSettleOfAFrozenKeyIsRedirected: the acknowledgement of a Settle for a key whose slot was handed over names the
+// successor.
+func TestSettleOfAFrozenKeyIsRedirected(t *testing.T) {
+	s := newTestServer("s", nil)
+	for slot := range s.slots {
+		s.slots[slot].frozen, s.slots[slot].successor = true, "a"
+	}
+	ack, answered := s.OnSettle(t0, "x", wire.Settle{Key: "k", Workspace: testWorkspace, Request: "r", Outcome: wire.SettleAnswered})
+	if !answered || ack.Owner != "a" || ack.Request != "r" {
+		t.Errorf("acknowledgement %+v, answered %t, want the owner a", ack, answered)
+	}
+}
--- a/internal/redeem/server.go
+++ b/internal/redeem/server.go
@@ -151,7 +151,8 @@
 func (s *Server) OnSettle(now time.Time, from fleet.InstanceID, m wire.Settle) (wire.SettleAck, bool) {
 	ack := wire.SettleAck{Request: m.Request}
 	if m.Key != "" {
-		return ack, s.settleKey(now, from, &m, &ack)
+		answered := s.settleKey(now, from, &m, &ack)
+		return ack, answered
 	}
 	registry := s.registries[ticketIssuer{m.Ticket.Issuer, m.Ticket.Incarnation}]
 	if registry == nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -20,6 +20,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -149,7 +150,7 @@
 func (r *run) allGatewaysServe(ctx context.Context) bool {
 	for _, g := range r.fleet.gateways {
 		for _, kind := range routeKinds {
-			if o := r.probe(ctx, g, kind, r.currentKey()); !o.complete {
+			if o := r.probe(ctx, g, kind, r.currentKey()); !o.complete || o.status != http.StatusOK {
 				return false
 			}
 		}
