--- /dev/null
+++ b/internal/mesh/members.go
@@ -0,0 +1,113 @@
+package mesh
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+)
+
+// Member is a gateway of the fleet.
+type Member struct {
+	ID          fleet.InstanceID   `json:"id"`
+	DataCentre  fleet.DataCentreID `json:"data_centre"`
+	Addr        string             `json:"peer_addr"`    // UDP IP:port
+	ControlAddr string             `json:"control_addr"` // HTTP IP:port
+	CPUMillis   uint32             `json:"cpu_millis"`   // processor share in thousandths of a core, 0: unknown
+}
+
+// AddMembers adds members, or updates the addresses of those that are known.
+func (s *State) AddMembers(now boottime.Instant, members []Member) {
+	for _, m := range members {
+		if m.ID == s.self.ID || m.ID == "" || m.Addr == "" {
+			continue
+		}
+		p := s.peers[m.ID]
+		if p == nil {
+			s.add(newPeer(m, now))
+			continue
+		}
+		if p.Member != m {
+			p.Member = m
+			s.roles = nil
+		}
+	}
+}
+
+func (s *State) add(p *peer) {
+	s.roles = nil
+	s.peers[p.ID] = p
+	s.sortedPeers = append(s.sortedPeers, p)
+	slices.SortFunc(s.sortedPeers, func(a, b *peer) int { return strings.Compare(string(a.ID), string(b.ID)) })
+}
+
+// Member returns a member by ID, and whether it is known.
+func (s *State) Member(id fleet.InstanceID) (Member, bool) {
+	p := s.peers[id]
+	if p == nil {
+		return Member{}, false
+	}
+	return p.Member, true
+}
+
+// Members returns all known members, including this gateway.
+func (s *State) Members() []Member {
+	ms := []Member{s.self.Member}
+	for _, p := range s.sortedPeers {
+		ms = append(ms, p.Member)
+	}
+	return ms
+}
+
+// MembersDigest returns a digest of Members that does not depend on their order.
+func (s *State) MembersDigest() uint64 {
+	digest := s.self.digest()
+	for _, p := range s.sortedPeers {
+		digest ^= p.digest()
+	}
+	return digest
+}
+
+func (m *Member) digest() uint64 {
+	return fleet.Hash(fmt.Sprintf("%s\x00%s\x00%s\x00%s\x00%d", m.ID, m.DataCentre, m.Addr, m.ControlAddr, m.CPUMillis))
+}
+
+func (s *State) removeExpired(now boottime.Instant) {
+	s.sortedPeers = slices.DeleteFunc(s.sortedPeers, func(p *peer) bool {
+		if now.Sub(p.lastKnown) <= s.memberRetention() {
+			return false
+		}
+		s.roles = nil
+		delete(s.peers, p.ID)
+		return true
+	})
+}
+
+// Size returns the number of gateways that may send to endpoints: this one and all members
+// added or received from within memberRetention.
+func (s *State) Size() int { return 1 + len(s.sortedPeers) }
+
+// LivePeers returns the number of peers that are not down.
+func (s *State) LivePeers(now boottime.Instant) int {
+	n := 0
+	for _, p := range s.sortedPeers {
+		if s.live(now, p) {
+			n++
+		}
+	}
+	return n
+}
+
+// MemberRank returns the position of this gateway among all members, live or not, in the
+// rendezvous order for a key, 0 for the first.
+func (s *State) MemberRank(key uint64) int {
+	ownWeight, rank := s.self.weight(key), 0
+	for _, p := range s.sortedPeers {
+		if p.weight(key) > ownWeight {
+			rank++
+		}
+	}
+	return rank
+}
--- a/internal/mesh/summary.go
+++ b/internal/mesh/summary.go
@@ -16,20 +16,17 @@
 	// summaryFreshness is the age up to which the summary with the most gateways is preferred to a
 	// more recent one.
 	summaryFreshness = 4 * aggregationInterval
-	// maxSummaryCounts bounds the counts of one summary, so that its Status fits into one datagram.
-	// Those of more endpoints are sent in turns.
+	// maxSummaryCounts bounds the counts of one summary. Those of more endpoints are sent in turns.
 	maxSummaryCounts = 700
+	// summaryBudget is the size in bytes of the summary and the failure reports of one Status, which fits
+	// into one datagram with the remaining fields.
+	summaryBudget = 950
+	// countBytes and reportBytes bound the encoded sizes of an entry of wire.Counts and of a failure report.
+	countBytes  = 8
+	reportBytes = 10
 	// maxSentCounts is how many of the latest counts of this gateway are kept, to subtract them from
 	// a sum that contains them.
 	maxSentCounts = 32
-	// forwardedFailureTTL is the age up to which aggregators forward a failure report.
-	forwardedFailureTTL = time.Second
-	// failedCountTTL is how long the failures that a peer reports count.
-	failedCountTTL = time.Second
-	// maxFailedEndpoints bounds the endpoints whose failures are sent in one Status.
-	maxFailedEndpoints = 40
-	// maxForwardedFailures bounds the failure reports of one Status.
-	maxForwardedFailures = 24
 )
 
 // endpointIndex is the order of endpoints in summaries.
@@ -242,9 +239,18 @@
 	return counts
 }
 
-// nextPart returns the next part of the sum for a peer.
-func (s *State) nextPart(p *peer, all *sums) *wire.LoadSummary {
-	if all == nil || len(s.endpoints.ids) == 0 {
+// addSummary adds the next part of the sums to a Status for a peer.
+func (s *State) addSummary(m *wire.Status, p *peer, all *sums) {
+	if all == nil {
+		return
+	}
+	m.InFlight, m.Failed = nil, nil // part of the sums
+	m.Summary = s.nextPart(p, all, summaryBudget-reportBytes*len(m.FailureReports))
+}
+
+// nextPart returns the next part of the sum for a peer, of about the given size in bytes.
+func (s *State) nextPart(p *peer, all *sums, size int) *wire.LoadSummary {
+	if len(s.endpoints.ids) == 0 {
 		return nil
 	}
 	sum := all.dataCentre
@@ -254,88 +260,8 @@
 	if p.nextOffset >= len(sum.counts) {
 		p.nextOffset = 0
 	}
-	from, to := p.nextOffset, min(p.nextOffset+maxSummaryCounts, len(sum.counts))
+	counts := min(size-countBytes*len(sum.failed), maxSummaryCounts)
+	from, to := p.nextOffset, min(p.nextOffset+counts, len(sum.counts))
 	p.nextOffset = to
 	return &wire.LoadSummary{Digest: s.endpoints.digest, Gateways: sum.gateways, Offset: uint32(from), Counts: sum.counts[from:to], Failed: sum.failed}
 }
-
-// Failed returns the recent failures of endpoints that the fleet has seen, including this gateway's own, by
-// the low 32 bits of the hash of the endpoint's ID.
-func (s *State) Failed(now boottime.Instant, own wire.Counts) wire.Counts {
-	if !s.aggregated() {
-		return s.failedSum(now, own, nil)
-	}
-	best := s.bestSummaries(now)
-	if local := best[s.self.DataCentre]; local != nil && !s.isFirstAggregator() {
-		return local.failed
-	}
-	return s.failedSum(now, own, best)
-}
-
-// failedSum adds up the failures that this gateway, its peers and the summaries of other data centres report.
-// In a large fleet, only peers of the same data centre are added. At most maxFailedEndpoints are returned.
-func (s *State) failedSum(now boottime.Instant, own wire.Counts, best map[fleet.DataCentreID]*summary) wire.Counts {
-	sum := wire.Counts{}
-	add := func(counts wire.Counts) {
-		for endpoint, n := range counts {
-			if _, known := sum[endpoint]; known || len(sum) < maxFailedEndpoints {
-				sum[endpoint] = uint16(min(int(sum[endpoint])+int(n), math.MaxUint16))
-			}
-		}
-	}
-	add(own)
-	for _, p := range s.sortedPeers {
-		if p.lastReceived == 0 || now.Sub(p.lastReceived) > failedCountTTL || s.aggregated() && p.DataCentre != s.self.DataCentre {
-			continue
-		}
-		add(p.status.Failed)
-	}
-	for dc, remote := range best {
-		if dc != s.self.DataCentre && now.Sub(remote.at) <= failedCountTTL {
-			add(remote.failed)
-		}
-	}
-	return sum
-}
-
-// forwardedFailures returns the failure reports to be sent to a peer: those of this gateway and, if it is
-// the first aggregator of its data centre, those that it has received: from this data centre for all peers,
-// from the others for the peers of this data centre.
-func (s *State) forwardedFailures(now boottime.Instant, to *peer, own []wire.FailureReport) []wire.FailureReport {
-	if !s.isFirstAggregator() {
-		return own
-	}
-	out := slices.Clone(own)
-	for _, p := range s.sortedPeers {
-		if p == to || p.DataCentre != s.self.DataCentre && to.DataCentre != s.self.DataCentre {
-			continue
-		}
-		elapsed := now.Sub(p.lastReceived)
-		if len(p.status.FailureReports) == 0 || elapsed > forwardedFailureTTL {
-			continue
-		}
-		for _, f := range p.status.FailureReports {
-			f.AgeMS += uint32(elapsed / time.Millisecond)
-			if time.Duration(f.AgeMS)*time.Millisecond <= forwardedFailureTTL {
-				out = addFailure(out, f)
-			}
-		}
-	}
-	return out
-}
-
-// addFailure adds a report, keeping the latest one of each endpoint.
-func addFailure(out []wire.FailureReport, f wire.FailureReport) []wire.FailureReport {
-	for i := range out {
-		if out[i].Endpoint == f.Endpoint {
-			if f.AgeMS < out[i].AgeMS {
-				out[i] = f
-			}
-			return out
-		}
-	}
-	if len(out) >= maxForwardedFailures {
-		return out
-	}
-	return append(out, f)
-}
--- a/internal/mesh/summary_test.go
+++ b/internal/mesh/summary_test.go
@@ -223,3 +223,42 @@
 		}
 	}
 }
+
+// TestSummaryFitsDatagram: a Status with the summary of many endpoints, many failures and many requests in flight
+// is not larger than a datagram without its envelope.
+func TestSummaryFitsDatagram(t *testing.T) {
+	const maxStatusBytes = 1150
+	first := New(start, Member{ID: "first", DataCentre: "a", Addr: "first", CPUMillis: 9}, 1<<40)
+	members := []Member{}
+	for i := range fullMeshFleetSize + 4 {
+		id := fmt.Sprint("g-", i)
+		members = append(members, Member{ID: fleet.InstanceID(id), DataCentre: "a", Addr: id})
+	}
+	first.AddMembers(start, members)
+	var ids []uint32
+	l := LocalStatus{InFlight: wire.Counts{}, Failed: wire.Counts{}, Version: 1}
+	for id := range uint32(3000) {
+		ids = append(ids, 1<<31+id)
+		if id < 100 {
+			l.Failed[1<<31+id] = 1000
+		}
+		if id < 40 {
+			l.InFlight[1<<31+id] = 1000
+			l.FailureReports = append(l.FailureReports, wire.FailureReport{Endpoint: 1<<31 + id, AgeMS: 900})
+		}
+	}
+	l.FailureReports = l.FailureReports[:maxForwardedFailures]
+	first.SetEndpoints(ids)
+	for _, m := range members {
+		first.Receive(start, m.ID, 1, wire.Status{Timestamp: 1})
+	}
+	for step := range 10 {
+		l.Version++
+		for _, o := range first.Tick(start.Add(time.Duration(step)*aggregationInterval), l) {
+			b, err := wire.Encode(wire.Frame{Message: o.Message})
+			if err != nil || len(b) > maxStatusBytes {
+				t.Fatalf("a Status of %d bytes, error %v", len(b), err)
+			}
+		}
+	}
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -144,36 +144,6 @@
 	}
 }
 
-// EndpointResource returns the resource of an endpoint's admission control.
-func EndpointResource(id fleet.EndpointID) wire.Resource {
-	return wire.Resource{Kind: wire.ResourceEndpoint, ID: fleet.Hash(string(id))}
-}
-
-// WorkspaceResource returns the resource of a workspace's quota.
-func WorkspaceResource(id fleet.WorkspaceID) wire.Resource {
-	return wire.Resource{Kind: wire.ResourceWorkspace, ID: fleet.Hash(string(id))}
-}
-
-// KeySlotResource returns the resource of a key slot.
-func KeySlotResource(slot int) wire.Resource {
-	return wire.Resource{Kind: wire.ResourceKeySlot, ID: uint64(slot)}
-}
-
-// KeySlotDataCentre returns the data centre to which a key slot is assigned. It depends only on
-// the set of configured data centres, not on their service state.
-func KeySlotDataCentre(v *fleet.View, slot int) fleet.DataCentreID {
-	var best fleet.DataCentreID
-	var top uint64
-	key := fleet.Weight(uint64(slot), uint64(wire.ResourceKeySlot))
-	for id := range v.Config.DataCentres {
-		w := fleet.Weight(key, fleet.Hash(string(id)))
-		if best == "" || w > top || (w == top && id < best) {
-			best, top = id, w
-		}
-	}
-	return best
-}
-
 // Update recomputes the owners after a change of the view or of the eligible instances.
 func (s *State) Update(now time.Time, v *fleet.View, peers Eligibility) {
 	s.view = v
@@ -215,30 +185,11 @@
 	return i < len(s.instances) && s.instances[i] == id
 }
 
-// resources returns all resources of the data centre.
-func (s *State) resources() []wire.Resource {
-	var out []wire.Resource
-	for _, e := range s.view.EndpointsIn(s.dc) {
-		out = append(out, wire.Resource{Kind: wire.ResourceEndpoint, ID: s.view.EndpointHash(e.ID)})
-	}
-	for id := range s.view.Config.Workspaces {
-		out = append(out, WorkspaceResource(id))
-	}
-	for slot := range KeySlots {
-		if KeySlotDataCentre(s.view, slot) == s.dc {
-			out = append(out, KeySlotResource(slot))
-		}
-	}
-	return out
-}
-
 // topCandidate returns the eligible instance with the highest weight for a resource.
 func (s *State) topCandidate(r wire.Resource) fleet.InstanceID {
 	return highestWeight(resourceKey(r), s.eligible)
 }
 
-func resourceKey(r wire.Resource) uint64 { return fleet.Weight(r.ID, uint64(r.Kind)) }
-
 func highestWeight(key uint64, cs []candidate) fleet.InstanceID {
 	var best fleet.InstanceID
 	var weight uint64
@@ -276,15 +227,6 @@
 	s.listChanged = true
 }
 
-func sortResources(rs []wire.Resource) {
-	sort.Slice(rs, func(i, j int) bool {
-		if rs[i].Kind != rs[j].Kind {
-			return rs[i].Kind < rs[j].Kind
-		}
-		return rs[i].ID < rs[j].ID
-	})
-}
-
 // Owner returns the owner of a resource of this data centre in the current view, or "" if there
 // is none.
 func (s *State) Owner(r wire.Resource) fleet.InstanceID { return s.owners[r] }
@@ -326,75 +268,6 @@
 // Owns reports whether this router owns a resource in its view, regardless of votes.
 func (s *State) Owns(r wire.Resource) bool { return s.owned[r] != nil }
 
-// VoteShare returns the number of valid votes for this router as the owner of a resource, divided
-// by the number of voters: the listed instances of the data centre except stopped ones. It
-// returns 0 for a resource that this router does not own.
-func (s *State) VoteShare(now time.Time, r wire.Resource) float64 {
-	return s.VoteShareSince(now, r, now)
-}
-
-// VoteShareSince is like VoteShare, but counts only the votes that have been valid without
-// interruption since from.
-func (s *State) VoteShareSince(now time.Time, r wire.Resource, from time.Time) float64 {
-	o := s.owned[r]
-	if o == nil || len(s.instances) == 0 || s.stopped {
-		return 0
-	}
-	n := 0
-	for id, vote := range o.votes {
-		if vote.until.After(now) && !vote.from.After(from) && !s.excluded(now, id) {
-			n++
-		}
-	}
-	return float64(n) / float64(s.voterCount(now))
-}
-
-// UsableFraction returns the fraction of a resource that an owner with the given vote share may
-// use. If the vote shares of several owners add up to at most one, so do their fractions. An owner
-// may use the whole resource while up to a third of the voters do not answer.
-func UsableFraction(share float64) float64 { return min(max(3*share-1, 0), 1) }
-
-// voterCount returns the number of listed instances that count as voters.
-func (s *State) voterCount(now time.Time) int {
-	n := len(s.instances)
-	for id := range s.stoppedPeers {
-		if s.excluded(now, id) {
-			n--
-		}
-	}
-	return max(n, 1)
-}
-
-// excluded reports whether a listed instance does not count as a voter, because it has announced its
-// stop and its votes for other owners have expired.
-func (s *State) excluded(now time.Time, id fleet.InstanceID) bool {
-	stop, ok := s.stoppedPeers[id]
-	return ok && !now.Before(stop.from) && (stop.until.IsZero() || now.Before(stop.until))
-}
-
-// KeySlotOwnedSince returns the time since which this router has held a quorum of votes for a key
-// slot without interruption, and whether it holds one at now. The quorum is more than two thirds
-// of the voters, so two instances cannot both hold one as long as their lists differ by less
-// than a third.
-func (s *State) KeySlotOwnedSince(now time.Time, slot int) (time.Time, bool) {
-	o := s.owned[KeySlotResource(slot)]
-	if o == nil || s.stopped {
-		return time.Time{}, false
-	}
-	var froms []time.Time
-	for id, vote := range o.votes {
-		if vote.until.After(now) && !s.excluded(now, id) {
-			froms = append(froms, vote.from)
-		}
-	}
-	need := 2*s.voterCount(now)/3 + 1
-	if len(froms) < need {
-		return time.Time{}, false
-	}
-	sort.Slice(froms, func(i, j int) bool { return froms[i].Before(froms[j]) })
-	return froms[need-1], true
-}
-
 // Owned returns the resources that this router owns in its view, sorted.
 func (s *State) Owned() []wire.Resource { return s.ownedSorted }
 
--- a/internal/redeem/client.go
+++ b/internal/redeem/client.go
@@ -47,30 +47,6 @@
 	}
 }
 
-type redemptionState uint8
-
-const (
-	requesting redemptionState = iota + 1 // waiting for a reply
-	holding                               // holds the execution right
-	settling                              // the Settle is repeated until it is acknowledged
-	lingering                             // ended; a late RedeemGranted is answered with a Settle
-)
-
-// redemption is the state of a request for the execution right.
-type redemption struct {
-	m         wire.Redeem
-	state     redemptionState
-	startedAt time.Time
-	deadline  time.Time // of the current state
-	sentAt    time.Time
-	wait      time.Duration // from sentAt to the next message
-	tries     int
-	peer      fleet.InstanceID   // receiver of the last message
-	notOwners []fleet.InstanceID // instances that answered RedeemNotOwner
-	redirect  fleet.InstanceID   // instance named as owner by a reply, tried first
-	settle    wire.Settle
-}
-
 // Client requests execution rights for the requests that one router receives from callers.
 type Client struct {
 	rng         *rand.Rand
@@ -140,28 +116,6 @@
 	return list[r.tries/triesPerCandidate%len(list)]
 }
 
-// remainingCandidates returns the candidates that have not answered RedeemNotOwner, with the
-// redirect first.
-func (r *redemption) remainingCandidates(routes Routes) []fleet.InstanceID {
-	var out []fleet.InstanceID
-	if r.redirect != "" {
-		out = append(out, r.redirect)
-	}
-	for _, id := range routes.Candidates(&r.m) {
-		if id != r.redirect && !slices.Contains(r.notOwners, id) {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
-// soleCandidateUnresponsive reports whether the only remaining candidate for a ticket has not answered
-// soleCandidateTries messages. It is always false for a key, because the owner of the key's slot may
-// change.
-func (r *redemption) soleCandidateUnresponsive(routes Routes) bool {
-	return r.m.Key == "" && r.tries >= soleCandidateTries && len(r.remainingCandidates(routes)) <= 1
-}
-
 // backoff returns the wait for a reply to message n, counted from 1: a random duration between half
 // of a bound and the bound. The bound doubles with n, up to maxReplyTimeout.
 func (c *Client) backoff(n int) time.Duration {
@@ -199,12 +153,6 @@
 	}, true
 }
 
-// linger ends the redemption but keeps it for lingerDuration.
-func (r *redemption) linger(now time.Time) {
-	r.state = lingering
-	r.deadline = now.Add(lingerDuration)
-}
-
 // onLateReply answers a RedeemGranted for an ended redemption with a Settle.
 func (c *Client) onLateReply(now time.Time, from fleet.InstanceID, r *redemption, m *wire.RedeemReply, out *wire.Outbox) {
 	if m.Result != wire.RedeemGranted || r.state == holding {
@@ -218,15 +166,6 @@
 	out.Send(from, r.settle)
 }
 
-// finalOutcome returns the outcome of an ended redemption: the one that was settled, or SettleNotRun
-// if the attempt never held the right.
-func (r *redemption) finalOutcome() wire.SettleOutcome {
-	if r.settle.Outcome != 0 {
-		return r.settle.Outcome
-	}
-	return wire.SettleNotRun
-}
-
 // onNotOwner continues with the owner named in the reply, or else with the next candidate, and ends the
 // redemption if there is none. If no owner is named for a key, its candidates are not excluded, because
 // the owner of its slot may change.
@@ -277,21 +216,6 @@
 	c.send(now, r, routes, out)
 }
 
-func (r *redemption) beginSettle(now time.Time, outcome wire.SettleOutcome, resp *wire.StoredResponse) {
-	r.state = settling
-	r.deadline = now.Add(settleDuration)
-	r.tries = 0
-	r.notOwners = nil
-	r.settle = wire.Settle{
-		Ticket:    r.m.Ticket,
-		Key:       r.m.Key,
-		Workspace: r.m.Workspace,
-		Request:   r.m.Request,
-		Outcome:   outcome,
-		Response:  resp,
-	}
-}
-
 // OnSettleAck ends the repetition of a Settle, or sends the Settle to the owner that the
 // acknowledgement names.
 func (c *Client) OnSettleAck(now time.Time, m wire.SettleAck, routes Routes, out *wire.Outbox) {
