--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -49,10 +50,10 @@
 	aggregator   bool             // as of State.roles
 	unresponsive bool             // it was watched and silent; cleared by its next Status
 
-	reportedSuspected   bool              // reported as Suspected, and not as Recovered since
-	reportedStopping    bool              // reported as Stopping
-	incarnation         fleet.Incarnation // random number of its process, not ordered
-	previousIncarnation fleet.Incarnation // of its previous process
+	reportedSuspected bool                // reported as Suspected, and not as Recovered since
+	reportedStopping  bool                // reported as Stopping
+	incarnation       fleet.Incarnation   // random number of its process, not ordered
+	endedIncarnations []fleet.Incarnation // of its latest previous processes, oldest first
 }
 
 // State holds the members and the last Status of each. See the package comment.
@@ -102,11 +103,11 @@
 	if p == nil {
 		return false
 	}
-	if inc == p.previousIncarnation || inc == p.incarnation && m.Timestamp < p.status.Timestamp {
-		return true // from the previous process, or older than the last Status received
+	if p.ended(now, inc) || inc == p.incarnation && m.Timestamp < p.status.Timestamp {
+		return true // from a previous process, or older than the last Status received
 	}
 	if inc != p.incarnation {
-		p.previousIncarnation, p.incarnation = p.incarnation, inc
+		p.startIncarnation(inc)
 	}
 	if p.unresponsive || p.status.Stopping != m.Stopping {
 		s.roles = nil
@@ -119,6 +120,32 @@
 	return true
 }
 
+const (
+	// maxEndedIncarnations bounds the previous processes of a peer whose delayed messages are recognized.
+	maxEndedIncarnations = 8
+	// maxMessageDelay is the longest expected delay of a message.
+	maxMessageDelay = time.Second
+)
+
+// ended reports whether an incarnation of a peer has ended. After two restarts in quick succession, messages
+// of the last process may arrive before one of the process before it, which then seems to be the later one.
+// So an incarnation counts as ended only while the one that replaced it sends messages, or could have.
+func (p *peer) ended(now boottime.Instant, inc fleet.Incarnation) bool {
+	return slices.Contains(p.endedIncarnations, inc) && now.Sub(p.lastReceived) <= maxMessageDelay
+}
+
+// startIncarnation records that a peer's process with another incarnation has started.
+func (p *peer) startIncarnation(inc fleet.Incarnation) {
+	p.endedIncarnations = slices.DeleteFunc(p.endedIncarnations, func(old fleet.Incarnation) bool { return old == inc })
+	if len(p.endedIncarnations) == maxEndedIncarnations {
+		p.endedIncarnations = slices.Delete(p.endedIncarnations, 0, 1)
+	}
+	if p.incarnation != 0 {
+		p.endedIncarnations = append(p.endedIncarnations, p.incarnation)
+	}
+	p.incarnation = inc
+}
+
 // ConfirmedAt returns the time, on this gateway's clock, at which the sender of a Status had a
 // confirmed copy of the store. It returns false if the Status is not sufficient to determine
 // it. The time is a lower bound: the Status echoes a timestamp of this gateway and the time since
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -146,6 +146,24 @@
 	if s.Receive(start, "unknown", 1, wire.Status{}) {
 		t.Error("an unknown peer was accepted")
 	}
+	// Two restarts, then a delayed message of the first process.
+	s.Receive(start, "p", 3, wire.Status{Timestamp: 1, InFlight: load(4)})
+	s.Receive(start, "p", 4, wire.Status{Timestamp: 1, InFlight: load(5)})
+	s.Receive(start, "p", 2, wire.Status{Timestamp: 9, InFlight: load(6)})
+	s.Receive(start, "p", 4, wire.Status{Timestamp: 2, InFlight: load(7)})
+	if got := s.InFlight(start)[7]; got != 7 {
+		t.Errorf("%d requests in flight after two restarts, want 7", got)
+	}
+	// Two more restarts; a delayed message of the first of these processes arrives after one of the second.
+	s.Receive(start, "p", 6, wire.Status{Timestamp: 1, InFlight: load(8)})
+	s.Receive(start, "p", 5, wire.Status{Timestamp: 1, InFlight: load(9)})
+	for n := range 20 {
+		now := start.Add(time.Duration(n) * 100 * time.Millisecond)
+		s.Receive(now, "p", 6, wire.Status{Timestamp: uint64(2 + n), InFlight: load(10)})
+	}
+	if got := s.InFlight(start.Add(2 * time.Second))[7]; got != 10 {
+		t.Errorf("%d requests in flight two seconds after reordered messages, want 10", got)
+	}
 }
 
 // TestSilentPeers: a peer without messages counts as down after the timeout, still counts as a
