--- a/internal/control/aggregation_test.go
+++ b/internal/control/aggregation_test.go
@@ -362,3 +362,22 @@
 		t.Errorf("the sound replica got %d requests in 5 s, its share is %d", at, rate/replicas*5)
 	}
 }
+
+// TestLateSeedsOfSmallFleet: all gateways of a small fleet restart, the seeds half a second after the others. The
+// others have the configuration before the seeds are back.
+func TestLateSeedsOfSmallFleet(t *testing.T) {
+	w := smallFleet(t)
+	for i, n := range w.Nodes {
+		delay := 500 * time.Millisecond
+		if i < 3 {
+			delay = time.Second
+		}
+		n.RestartAfter(delay)
+	}
+	w.Run(900 * time.Millisecond)
+	for _, n := range w.Nodes[3:] {
+		if n.State.Revision() == 0 {
+			t.Errorf("%s has no configuration 400 ms after its start", n.ID)
+		}
+	}
+}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -14,8 +14,9 @@
 	// joinTimeout is how long a starting process waits for a seed's reply before it may become ready
 	// without one.
 	joinTimeout = 1500 * time.Millisecond
-	// joinRetryInterval is the time between two queries to the seeds until one has replied, or
-	// after a message from an unknown peer.
+	// firstQueryInterval is the time between two queries to the seeds until one has replied.
+	firstQueryInterval = 100 * time.Millisecond
+	// joinRetryInterval is the time between two queries after a message from an unknown peer.
 	joinRetryInterval = 300 * time.Millisecond
 	// seedRefreshInterval is the time between two queries after a seed has replied. These queries
 	// repair a split membership, in which two sets of gateways are unknown to each other.
@@ -52,7 +53,10 @@
 		return
 	}
 	interval := seedRefreshInterval
-	if !j.seedReplied || j.unknownPeer {
+	switch {
+	case !j.seedReplied:
+		interval = firstQueryInterval
+	case j.unknownPeer:
 		interval = joinRetryInterval
 	}
 	if j.lastQuery != 0 && now.Sub(j.lastQuery) < interval {
--- a/internal/control/pull.go
+++ b/internal/control/pull.go
@@ -23,6 +23,9 @@
 	// aggregatorWait is how long a gateway of a large fleet that lacks changes waits for an aggregator
 	// of its data centre before it pulls from any peer or, without any data, reads the store.
 	aggregatorWait = 600 * time.Millisecond
+	// seedWait is how long a process without any data waits for a seed, which tells whether the fleet is
+	// large. When all gateways of a small fleet restart, the seeds may be the last ones.
+	seedWait = 150 * time.Millisecond
 )
 
 // pullState is the progress of catching up with peers.
@@ -64,12 +67,17 @@
 }
 
 // awaitsPeers reports whether a process without any data should wait for a peer's instead of reading the
-// store: until a seed has replied, and then for an aggregator, unless it is one.
+// store: for seedWait until a seed has replied, and then in a large fleet for an aggregator, unless it is one.
 func (s *State) awaitsPeers(now boottime.Instant) bool {
-	if s.opts.SeedCount == 0 || now.Sub(s.join.processStart) >= aggregatorWait {
+	waited := now.Sub(s.join.processStart)
+	switch {
+	case s.opts.SeedCount == 0:
 		return false
+	case !s.join.seedReplied:
+		return waited < seedWait
+	default:
+		return waited < aggregatorWait && s.mesh.Aggregated() && !s.mesh.IsAggregator()
 	}
-	return !s.join.seedReplied || s.mesh.Aggregated() && !s.mesh.IsAggregator()
 }
 
 // pull requests from a peer the changes after the covered revision of the mirror.
