--- a/internal/mesh/roles.go
+++ b/internal/mesh/roles.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -43,7 +44,7 @@
 		return s.roles
 	}
 	s.roles = &roles{aggregators: map[fleet.DataCentreID][]*peer{}, preferred: map[fleet.DataCentreID][]*peer{}}
-	s.roles.add(s.self, true)
+	s.roles.add(s.self, !s.self.status.Stopping)
 	for _, p := range s.sortedPeers {
 		s.roles.add(p, !p.unresponsive && !p.status.Stopping)
 		if p.DataCentre == s.self.DataCentre {
@@ -89,15 +90,6 @@
 	return p.weight(aggregatorHashKey) > other.weight(aggregatorHashKey)
 }
 
-func contains(ranked []*peer, p *peer) bool {
-	for _, q := range ranked {
-		if q == p {
-			return true
-		}
-	}
-	return false
-}
-
 // isAggregator reports whether a gateway is an aggregator of its data centre.
 func (s *State) isAggregator(p *peer) bool {
 	s.currentRoles()
@@ -114,8 +106,14 @@
 }
 
 // LocalPeers returns the number of peers in this gateway's data centre.
-func (s *State) LocalPeers() int {
-	return s.currentRoles().localPeers
+func (s *State) LocalPeers() int { return s.currentRoles().localPeers }
+
+// noteStopping gives up this gateway's role when its planned stop begins.
+func (s *State) noteStopping(stopping bool) {
+	if s.self.status.Stopping != stopping {
+		s.self.status.Stopping = stopping
+		s.roles = nil
+	}
 }
 
 // isFirstAggregator reports whether this gateway is the aggregator that sends the sums of its data
@@ -140,7 +138,7 @@
 // probes reports whether a peer that is unresponsive would be an aggregator that this gateway watches.
 // It is sent a Status at downPeerInterval, so that both sides of a partition find each other again.
 func (s *State) probes(p *peer) bool {
-	if !p.unresponsive || !contains(s.currentRoles().preferred[p.DataCentre], p) {
+	if !p.unresponsive || !slices.Contains(s.currentRoles().preferred[p.DataCentre], p) {
 		return false
 	}
 	return p.DataCentre == s.self.DataCentre || s.isAggregator(s.self)
--- a/internal/mesh/status.go
+++ b/internal/mesh/status.go
@@ -30,6 +30,7 @@
 
 // Tick removes expired members and returns the Status messages that are due.
 func (s *State) Tick(now boottime.Instant, l LocalStatus) []Outgoing {
+	s.noteStopping(l.Stopping)
 	s.removeExpired(now)
 	s.watchPeers(now)
 	var all *sums
@@ -58,6 +59,7 @@
 // aggregators of the others. Without a change since the last Broadcast (changed is false), only the
 // aggregators of a large fleet are sent a Status; theirs soon follow to the others.
 func (s *State) Broadcast(now boottime.Instant, l LocalStatus, changed bool) []Outgoing {
+	s.noteStopping(l.Stopping)
 	if !s.aggregated() {
 		return s.statusesWithChanges(now, l, func(*peer) bool { return true })
 	}
--- a/internal/mesh/summary_test.go
+++ b/internal/mesh/summary_test.go
@@ -262,3 +262,28 @@
 		}
 	}
 }
+
+// TestStoppingAggregatorSendsNoSummary: a gateway whose planned stop has begun no longer aggregates.
+func TestStoppingAggregatorSendsNoSummary(t *testing.T) {
+	first := New(start, Member{ID: "first", DataCentre: "a", Addr: "first", CPUMillis: 9}, 1<<40)
+	for i := range fullMeshFleetSize + 1 {
+		id := fmt.Sprint("g-", i)
+		first.AddMembers(start, []Member{{ID: fleet.InstanceID(id), DataCentre: "a", Addr: id}})
+		first.Receive(start, fleet.InstanceID(id), 1, wire.Status{Timestamp: 1})
+	}
+	first.SetEndpoints([]uint32{testEndpoint})
+	summaries := func(now boottime.Instant, l LocalStatus) (n int) {
+		for _, o := range first.Tick(now, l) {
+			if o.Message.(wire.Status).Summary != nil {
+				n++
+			}
+		}
+		return n
+	}
+	if n := summaries(start, LocalStatus{Version: 1}); n != fullMeshFleetSize+1 {
+		t.Errorf("%d summaries of the first aggregator", n)
+	}
+	if n := summaries(start.Add(time.Second), LocalStatus{Version: 2, Stopping: true}); n != 0 {
+		t.Errorf("%d summaries of a stopping gateway", n)
+	}
+}
