--- a/internal/control/aggregation_test.go
+++ b/internal/control/aggregation_test.go
@@ -283,6 +283,30 @@
 	checkStart(t, w)
 }
 
+// TestMembersAfterRestartOfAll: all of 295 gateways are killed, and the three seeds start again at different times,
+// among the last. Three seconds later all gateways know each other, so that they agree on the aggregators.
+func TestMembersAfterRestartOfAll(t *testing.T) {
+	w := hugeFleet(t)
+	w.Run(2 * convergenceTime)
+	for i, n := range w.Nodes {
+		delay := time.Duration(500+w.Rand().IntN(400)) * time.Millisecond
+		if i < 3 {
+			delay = time.Duration(700+100*i) * time.Millisecond
+		}
+		n.RestartAfter(delay)
+	}
+	w.Run(900*time.Millisecond + 3*time.Second)
+	incomplete := 0
+	for _, n := range w.Nodes {
+		if len(n.State.Members()) != len(w.Nodes) {
+			incomplete++
+		}
+	}
+	if incomplete > 0 {
+		t.Errorf("%d of %d gateways do not know all members", incomplete, len(w.Nodes))
+	}
+}
+
 func checkStart(t *testing.T, w *controltest.World) {
 	t.Helper()
 	readers, notReady := 0, 0
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -18,6 +18,10 @@
 	firstQueryInterval = 100 * time.Millisecond
 	// joinRetryInterval is the time between two queries after a message from an unknown peer.
 	joinRetryInterval = 300 * time.Millisecond
+	// joinQueryInterval is the time between two queries within joinPeriod after the start of the process. When
+	// many gateways start together, the first lists of the seeds are incomplete and differ.
+	joinQueryInterval = time.Second
+	joinPeriod        = 4 * time.Second
 	// seedRefreshInterval is the time between two queries after a seed has replied. These queries
 	// repair a split membership, in which two sets of gateways are unknown to each other.
 	seedRefreshInterval = 10 * time.Second
@@ -58,12 +62,14 @@
 		interval = firstQueryInterval
 	case j.unknownPeer:
 		interval = joinRetryInterval
+	case now.Sub(j.processStart) < joinPeriod:
+		interval = joinQueryInterval
 	}
 	if j.lastQuery != 0 && now.Sub(j.lastQuery) < interval {
 		return
 	}
 	j.lastQuery, j.unknownPeer = now, false
-	s.emit(QuerySeeds{})
+	s.emit(QuerySeeds{All: !j.seedReplied})
 }
 
 // SeedReplied adds the members that a seed listed in its reply.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -137,7 +137,9 @@
 
 // QuerySeeds requests the member lists of the seeds, at the control addresses in the settings. Replies
 // are passed to SeedReplied.
-type QuerySeeds struct{}
+type QuerySeeds struct {
+	All bool // query all seeds, else those in random order until one has replied
+}
 
 // ProbeEndpoint requests a connection attempt to an endpoint. Its result is passed to
 // ProbeDone.
--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -110,7 +110,7 @@
 	case control.ReadStore:
 		n.read(a)
 	case control.QuerySeeds:
-		n.querySeeds()
+		n.querySeeds(a)
 	case control.ProbeEndpoint:
 		n.probe(a)
 	case control.Log:
@@ -191,11 +191,13 @@
 	})
 }
 
-func (n *Node) querySeeds() {
+// querySeeds simulates queries to the seeds that run: to all of them, or to a random one.
+func (n *Node) querySeeds(query control.QuerySeeds) {
 	w := n.World
 	self := n.State.Members()[0]
-	for _, seed := range w.Nodes[:min(seeds, len(w.Nodes))] {
-		if seed == n || w.partitioned(string(n.ID), string(seed.ID)) {
+	for _, i := range w.rng.Perm(min(seeds, len(w.Nodes))) {
+		seed := w.Nodes[i]
+		if seed == n || seed.State == nil || w.partitioned(string(n.ID), string(seed.ID)) {
 			continue
 		}
 		w.After(networkDelay, func() {
@@ -205,6 +207,9 @@
 				w.After(networkDelay, func() { n.run(func() { n.State.SeedReplied(w.Now(), members) }) })
 			})
 		})
+		if !query.All {
+			return
+		}
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,7 +185,7 @@
 	case control.ReadStore:
 		p.storeReads <- a // does not block: the state requests one read at a time
 	case control.QuerySeeds:
-		p.wg.Go(p.querySeeds)
+		p.wg.Go(func() { p.querySeeds(a.All) })
 	case control.ProbeEndpoint:
 		p.wg.Go(func() { p.probe(a) })
 	case control.Log:
--- a/internal/gateway/seeds.go
+++ b/internal/gateway/seeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -75,19 +76,17 @@
 
 func formatDigest(d uint64) string { return strconv.FormatUint(d, 16) }
 
-// querySeeds queries the seeds in random order, until one has responded, and passes its members to the
-// control state. A seed that does not respond within seedHedgeDelay delays the next one by no more than
-// that.
-func (p *process) querySeeds() {
+// querySeeds queries the seeds in random order, one after the other, and passes their members to the control
+// state: all of them, or until one has responded. A seed that does not respond within seedHedgeDelay delays
+// the next one by no more than that.
+func (p *process) querySeeds(all bool) {
 	seeds := p.seeds.Load()
-	var digest uint64
-	p.loop.Do(func(s *control.State, _ boottime.Instant) { digest = s.MembersDigest() })
 	done := make(chan bool, len(seeds.addrs)) // a seed's response arrived, or its query failed
 	for _, i := range rand.Perm(len(seeds.addrs)) {
-		p.wg.Go(func() { done <- p.querySeed(seeds, seeds.addrs[i], digest) })
+		p.wg.Go(func() { done <- p.querySeed(seeds, seeds.addrs[i]) })
 		select {
 		case ok := <-done:
-			if ok {
+			if ok && !all {
 				return
 			}
 		case <-time.After(seedHedgeDelay):
@@ -98,7 +97,9 @@
 }
 
 // querySeed queries one seed and reports whether it responded.
-func (p *process) querySeed(seeds *seedClient, addr string, digest uint64) bool {
+func (p *process) querySeed(seeds *seedClient, addr string) bool {
+	var digest uint64
+	p.loop.Do(func(s *control.State, _ boottime.Instant) { digest = s.MembersDigest() })
 	members, err := seeds.query(p.ctx, addr, digest)
 	if err != nil {
 		event.LogFields(event.SeedUnreachable, "addr", addr, "err", err.Error())
@@ -126,7 +127,11 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	writeJSON(w, members)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	defer z.Close()
+	_ = json.NewEncoder(z).Encode(members) // fails only if the client has disconnected
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
