--- a/internal/control/aggregation_test.go
+++ b/internal/control/aggregation_test.go
@@ -9,6 +9,7 @@
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/controltest"
+	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
 )
@@ -405,3 +406,36 @@
 		}
 	}
 }
+
+// TestChangeOfAggregatorsIsLogged: each gateway of a data centre logs the aggregators that it has chosen, and their
+// change when the first one is lost; all name the same ones.
+func TestChangeOfAggregatorsIsLogged(t *testing.T) {
+	w := controltest.New(seed, 20)
+	last := map[fleet.InstanceID]string{}
+	w.OnLog = func(n *controltest.Node, l control.Log) {
+		if l.Event == event.AggregatorsChanged {
+			last[n.ID] = fmt.Sprint(l.Fields[1])
+		}
+	}
+	w.Write(publishedtest.Config(config(1, "key")))
+	w.Run(2 * convergenceTime)
+	before := last["a-5"]
+	for _, n := range w.Nodes {
+		if last[n.ID] != before || before == "" {
+			t.Errorf("%s names the aggregators %s, a-5 %s", n.ID, last[n.ID], before)
+		}
+	}
+	var first string
+	_, _ = fmt.Sscanf(before, "[%s", &first)
+	for _, n := range w.Nodes {
+		if string(n.ID) == first {
+			n.RestartAfter(time.Hour)
+		}
+	}
+	w.Run(2 * time.Second)
+	for _, n := range w.Nodes {
+		if n.State != nil && last[n.ID] == before {
+			t.Errorf("%s still names the aggregators %s", n.ID, before)
+		}
+	}
+}
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -12,14 +12,16 @@
 
 // Dump is a snapshot of the decision state for operators.
 type Dump struct {
-	Ready     bool                 `json:"ready"`
-	Stopping  bool                 `json:"stopping"`
-	Store     StoreDump            `json:"store"`
-	Members   []mesh.Member        `json:"members"`
-	LivePeers int                  `json:"live_peers"`
-	Evacuated []fleet.DataCentreID `json:"data_centres_out"`
-	Services  []ServiceDump        `json:"services"`
-	Endpoints []EndpointDump       `json:"endpoints"`
+	Ready     bool          `json:"ready"`
+	Stopping  bool          `json:"stopping"`
+	Store     StoreDump     `json:"store"`
+	Members   []mesh.Member `json:"members"`
+	LivePeers int           `json:"live_peers"`
+	// Aggregators are those of the gateway's data centre, in their order; none in a small fleet.
+	Aggregators []fleet.InstanceID   `json:"aggregators"`
+	Evacuated   []fleet.DataCentreID `json:"data_centres_out"`
+	Services    []ServiceDump        `json:"services"`
+	Endpoints   []EndpointDump       `json:"endpoints"`
 }
 
 // StoreDump is the state of the local snapshot of the platform's store.
@@ -70,6 +72,8 @@
 		},
 		Members:   s.mesh.Members(),
 		LivePeers: s.mesh.LivePeers(now),
+
+		Aggregators: s.mesh.LocalAggregators(),
 	}
 	if s.table != nil {
 		d.Store.ConfigVersion = s.table.Config().Version
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -112,6 +113,16 @@
 	}
 }
 
+// logAggregators logs a change of the aggregators of this gateway's data centre.
+func (s *State) logAggregators() {
+	aggregators := s.mesh.LocalAggregators()
+	if slices.Equal(aggregators, s.loggedAggregators) {
+		return
+	}
+	s.loggedAggregators = aggregators
+	s.log(event.AggregatorsChanged, "aggregators", aggregators, "self", s.mesh.IsAggregator(), "members", s.mesh.Size())
+}
+
 // fleetSize returns the number of gateways among which fleet-wide limits are divided.
 func (s *State) fleetSize() int {
 	if !s.join.seedReplied {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -57,6 +57,7 @@
 	retryWindows      map[fleet.ServiceID]*retry.Window
 	retrySuccessRates map[fleet.ServiceID]float64 // moving average of the success of retries after endpoints' own failures
 	outliersCheckedAt boottime.Instant
+	loggedAggregators []fleet.InstanceID
 	stopping          bool
 }
 
@@ -88,6 +89,7 @@
 	s.tickReader(now)
 	s.tickJoining(now)
 	s.logPeerTransitions(now)
+	s.logAggregators()
 	s.tickEndpoints(now)
 	s.checkOutliers(now)
 	s.send(s.mesh.Tick(now, s.localStatus(now)))
--- a/internal/event/number.go
+++ b/internal/event/number.go
@@ -56,6 +56,7 @@
 	MembersLearned     Number = 305
 	SeedUnreachable    Number = 306
 	MessageUnreadable  Number = 308
+	AggregatorsChanged Number = 309
 	EndpointListed     Number = 405
 	EndpointLapsed     Number = 406
 	EndpointRemoved    Number = 407
--- a/internal/mesh/roles.go
+++ b/internal/mesh/roles.go
@@ -108,6 +108,19 @@
 // LocalPeers returns the number of peers in this gateway's data centre.
 func (s *State) LocalPeers() int { return s.currentRoles().localPeers }
 
+// LocalAggregators returns the aggregators of this gateway's data centre in their order, or none in a small
+// fleet.
+func (s *State) LocalAggregators() []fleet.InstanceID {
+	if !s.aggregated() {
+		return nil
+	}
+	var ids []fleet.InstanceID
+	for _, p := range s.currentRoles().aggregators[s.self.DataCentre] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 // noteStopping gives up this gateway's role when its planned stop begins.
 func (s *State) noteStopping(stopping bool) {
 	if s.self.status.Stopping != stopping {
