--- a/internal/ingress/fake_test.go
+++ b/internal/ingress/fake_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -186,6 +187,19 @@
 	respond(n, conn, r)
 }
 
+// received returns the requests that have reached endpoints, their bodies and the endpoints.
+func (ts *testServer) received() (requests []*http.Request, bodies, endpoints []string) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return slices.Clone(ts.requests), slices.Clone(ts.bodies), slices.Clone(ts.reachedEndpoints)
+}
+
+// arrivals returns the number of requests that have reached endpoints.
+func (ts *testServer) arrivals() int {
+	requests, _, _ := ts.received()
+	return len(requests)
+}
+
 // callerResult is the result of a caller's request.
 type callerResult struct {
 	status          int
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -130,7 +130,7 @@
 			if g.status != tc.status || g.err != nil || tc.body != "" && g.body != tc.body {
 				t.Errorf("got %d %q, %v", g.status, g.body, g.err)
 			}
-			if n := len(ts.requests); n != tc.arrivals {
+			if n := ts.arrivals(); n != tc.arrivals {
 				t.Errorf("%d arrivals, want %d", n, tc.arrivals)
 			}
 			if retryAfter := g.header.Get("Retry-After"); (retryAfter != "") != (tc.status == 503) {
@@ -194,8 +194,8 @@
 			if g := ts.send("POST", route, ""); g.err == nil || g.body != tc.body {
 				t.Errorf("got %q, %v", g.body, g.err)
 			}
-			if len(ts.requests) != arrivals {
-				t.Errorf("%d arrivals", len(ts.requests))
+			if n := ts.arrivals(); n != arrivals {
+				t.Errorf("%d arrivals", n)
 			}
 		})
 	}
@@ -238,12 +238,13 @@
 func TestForwardedRequest(t *testing.T) {
 	ts := startTestServer(t, func(_ int, c net.Conn, _ *http.Request) { writeCompleteResponse(c, "good") })
 	ts.send("PUT", "idempotent", "body", "X-Other", "kept", "X-Expect", "forged", "X-Workspace", "forged", "Connection", "X-Hop", "X-Hop", "1", "X-Wait-Ms", "2000")
-	r := ts.requests[0]
-	if r.Method != "PUT" || r.RequestURI != "/idempotent/x?q=1" || r.Host != "h" || ts.bodies[0] != "body" {
-		t.Errorf("%s %s at %s with %q", r.Method, r.RequestURI, r.Host, ts.bodies[0])
+	requests, bodies, endpoints := ts.received()
+	r := requests[0]
+	if r.Method != "PUT" || r.RequestURI != "/idempotent/x?q=1" || r.Host != "h" || bodies[0] != "body" {
+		t.Errorf("%s %s at %s with %q", r.Method, r.RequestURI, r.Host, bodies[0])
 	}
 	for name, want := range map[string]string{
-		"X-Id": "id-1", "X-Other": "kept", "X-Expect": ts.reachedEndpoints[0], "X-Workspace": "ws", "X-Key": "", "User-Agent": "Go-http-client/1.1",
+		"X-Id": "id-1", "X-Other": "kept", "X-Expect": endpoints[0], "X-Workspace": "ws", "X-Key": "", "User-Agent": "Go-http-client/1.1",
 	} {
 		if got := r.Header.Get(name); got != want {
 			t.Errorf("%s is %q, want %q", name, got, want)
@@ -269,7 +270,8 @@
 	if g := ts.send("POST", "idempotent", "", "X-Wait-Ms", "20000"); g.status != 200 {
 		t.Fatalf("got %d, %v", g.status, g.err)
 	}
-	left, err := strconv.Atoi(ts.requests[1].Header.Get("X-Left-Ms"))
+	requests, _, _ := ts.received()
+	left, err := strconv.Atoi(requests[1].Header.Get("X-Left-Ms"))
 	if err != nil || left > 20000-int(firstAttempt.Milliseconds()) {
 		t.Errorf("%d ms left of 20000, %v after the first attempt", left, firstAttempt)
 	}
@@ -295,7 +297,8 @@
 		}
 	}
 	reached := 0
-	for _, e := range ts.reachedEndpoints {
+	_, _, endpoints := ts.received()
+	for _, e := range endpoints {
 		if e == misdirectedID {
 			reached++
 		}
@@ -347,8 +350,8 @@
 		}
 		conn.Close()
 	}
-	if len(ts.requests) != 0 {
-		t.Errorf("%d requests were forwarded", len(ts.requests))
+	if n := ts.arrivals(); n != 0 {
+		t.Errorf("%d requests were forwarded", n)
 	}
 }
 
@@ -409,8 +412,8 @@
 			if d := time.Since(began); d < 100*time.Millisecond {
 				t.Errorf("ended after %v", d)
 			}
-			if len(ts.requests) != 1 {
-				t.Errorf("%d arrivals", len(ts.requests))
+			if n := ts.arrivals(); n != 1 {
+				t.Errorf("%d arrivals", n)
 			}
 		})
 	}
