--- a/internal/mesh/failures.go
+++ b/internal/mesh/failures.go
@@ -19,8 +19,8 @@
 	failedCountTTL = time.Second
 	// maxFailedEndpoints bounds the endpoints whose failures are sent in one Status.
 	maxFailedEndpoints = 40
-	// maxForwardedFailures bounds the failure reports of one Status.
-	maxForwardedFailures = 24
+	// maxFailureReports bounds the failure reports of one Status.
+	maxFailureReports = 24
 )
 
 // highestCounts returns the n highest counts.
@@ -101,6 +101,17 @@
 	return out
 }
 
+// latestFailures returns the latest maxFailureReports reports.
+func latestFailures(reports []wire.FailureReport) []wire.FailureReport {
+	if len(reports) <= maxFailureReports {
+		return reports
+	}
+	sorted := slices.SortedFunc(slices.Values(reports), func(a, b wire.FailureReport) int {
+		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return sorted[:maxFailureReports]
+}
+
 // addFailure adds a report, keeping the latest one of each endpoint.
 func addFailure(out []wire.FailureReport, f wire.FailureReport) []wire.FailureReport {
 	for i := range out {
@@ -111,7 +122,7 @@
 			return out
 		}
 	}
-	if len(out) >= maxForwardedFailures {
+	if len(out) >= maxFailureReports {
 		return out
 	}
 	return append(out, f)
--- a/internal/mesh/status.go
+++ b/internal/mesh/status.go
@@ -46,7 +46,7 @@
 			if all == nil {
 				all = s.computeSums(now, l)
 			}
-			m.FailureReports = s.forwardedFailures(now, p, l.FailureReports)
+			m.FailureReports = s.forwardedFailures(now, p, m.FailureReports)
 			s.addSummary(&m, p, all)
 		}
 		out = append(out, Outgoing{To: p.ID, Addr: p.Addr, Message: m})
@@ -102,7 +102,7 @@
 		StoreUnreadable: l.StoreUnreadable,
 		InFlight:        l.InFlight,
 		Failed:          highestCounts(l.Failed, maxFailedEndpoints),
-		FailureReports:  l.FailureReports,
+		FailureReports:  latestFailures(l.FailureReports),
 	}
 	if p.lastReceived != 0 {
 		m.Echo = p.status.Timestamp
--- a/internal/mesh/summary.go
+++ b/internal/mesh/summary.go
@@ -21,6 +21,8 @@
 	// summaryBudget is the size in bytes of the summary and the failure reports of one Status, which fits
 	// into one datagram with the remaining fields.
 	summaryBudget = 950
+	// minSummaryCounts is the number of counts that are sent in any case.
+	minSummaryCounts = 100
 	// countBytes and reportBytes bound the encoded sizes of an entry of wire.Counts and of a failure report.
 	countBytes  = 8
 	reportBytes = 10
@@ -260,7 +262,7 @@
 	if p.nextOffset >= len(sum.counts) {
 		p.nextOffset = 0
 	}
-	counts := min(size-countBytes*len(sum.failed), maxSummaryCounts)
+	counts := min(max(size-countBytes*len(sum.failed), minSummaryCounts), maxSummaryCounts)
 	from, to := p.nextOffset, min(p.nextOffset+counts, len(sum.counts))
 	p.nextOffset = to
 	return &wire.LoadSummary{Digest: s.endpoints.digest, Gateways: sum.gateways, Offset: uint32(from), Counts: sum.counts[from:to], Failed: sum.failed}
--- a/internal/mesh/summary_test.go
+++ b/internal/mesh/summary_test.go
@@ -244,10 +244,11 @@
 		}
 		if id < 40 {
 			l.InFlight[1<<31+id] = 1000
+		}
+		if id < 300 { // this gateway is cut off from most endpoints
 			l.FailureReports = append(l.FailureReports, wire.FailureReport{Endpoint: 1<<31 + id, AgeMS: 900})
 		}
 	}
-	l.FailureReports = l.FailureReports[:maxForwardedFailures]
 	first.SetEndpoints(ids)
 	for _, m := range members {
 		first.Receive(start, m.ID, 1, wire.Status{Timestamp: 1})
