--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -254,10 +254,8 @@
 	}
 }
 
-// TestForeignLoadAfterLapsedVotes pauses an owner until its votes have expired, so that another owner admits
-// 5 requests. One of the two leases of this owner ends so close to the measurement of the next report that
-// the report may or may not include it.
-func TestForeignLoadAfterLapsedVotes(t *testing.T) {
+// newResumedOwner returns an owner of e0 with two leases that was paused until its votes had expired.
+func newResumedOwner() *testRouter {
 	r := newTestRouter(1, 0)
 	r.reportWarm("e0")
 	for id := range uint64(2) {
@@ -266,6 +264,14 @@
 	r.now = r.now.Add(10 * time.Second)
 	r.OnPause(r.now)
 	r.advance(time.Second)
+	return r
+}
+
+// TestForeignLoadAfterLapsedVotes pauses an owner until its votes have expired, so that another owner admits
+// 5 requests. One of the two leases of this owner ends so close to the measurement of the next report that
+// the report may or may not include it.
+func TestForeignLoadAfterLapsedVotes(t *testing.T) {
+	r := newResumedOwner()
 	r.release(1)
 	measured := r.now.Add(100 * time.Millisecond)
 	r.advance(time.Second)
@@ -279,14 +285,7 @@
 // leases restarts just before the report is measured. The owner admits nothing until a later report shows the
 // requests of the other owner.
 func TestReportBeforeDroppedLeasesAfterLapsedVotes(t *testing.T) {
-	r := newTestRouter(1, 0)
-	r.reportWarm("e0")
-	for id := range uint64(2) {
-		r.requestLease(wire.LeaseRequest{ID: 1 + id, Endpoint: "e0"})
-	}
-	r.now = r.now.Add(10 * time.Second)
-	r.OnPause(r.now)
-	r.advance(time.Second)
+	r := newResumedOwner()
 	r.OnRequest(r.now, holder, 2, wire.LeaseRequest{ID: 1, Endpoint: "e0", DeadlineMS: 60_000}, &r.out)
 	measured := r.now.Add(100 * time.Millisecond)
 	r.advance(time.Second)
