Log the version of endpoints and what a request resumes

Change: the version in an endpoint's entry is decoded and logged with each attempt; a request's Resumes and last event, and the events that an attempt forwarded, are logged. No decision uses them yet.

--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -52,7 +52,7 @@
 		e.incarnationKnownSince = now
 	}
 	if e.Leaving != rec.Leaving || !e.listed {
-		s.log(event.EndpointListed, "endpoint", rec.ID, "service", rec.Service, "addr", rec.Addr, "data_centre", rec.DataCentre,
+		s.log(event.EndpointListed, "endpoint", rec.ID, "service", rec.Service, "version", rec.Version, "incarnation", rec.Incarnation, "addr", rec.Addr, "data_centre", rec.DataCentre,
 			"leaving", rec.Leaving, "cold_ms", rec.ColdRemaining.Milliseconds(), "revision", s.mirror.Revision())
 	}
 	e.Endpoint = rec
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -23,11 +23,12 @@
 type Attempt struct {
 	Endpoint            fleet.EndpointID
 	Addr                string
-	CacheSourceAddr     string          // address of an endpoint that may have more of the prompt cached; "" for none
-	Load                int             // the fleet's requests at the endpoint, including this one
-	MeanLoad            float64         // mean load of the eligible endpoints, before this request
-	EligibleCount       int             // number of eligible endpoints
-	EndpointUnreachable <-chan struct{} // closed when a connection attempt to the endpoint times out
+	Version             fleet.SoftwareVersion // of the endpoint, as published
+	CacheSourceAddr     string                // address of an endpoint that may have more of the prompt cached; "" for none
+	Load                int                   // the fleet's requests at the endpoint, including this one
+	MeanLoad            float64               // mean load of the eligible endpoints, before this request
+	EligibleCount       int                   // number of eligible endpoints
+	EndpointUnreachable <-chan struct{}       // closed when a connection attempt to the endpoint times out
 
 	endpoint            *endpoint
 	endpointUnreachable chan struct{}
@@ -62,7 +63,7 @@
 	e.inFlight++
 	e.coldStart.recordSend(now)
 	s.peerLoads.statusVersion++
-	attempt := &Attempt{Endpoint: e.ID, Addr: e.Addr, Load: s.load(now, e), MeanLoad: c.meanLoad(), EligibleCount: len(c.eligible), endpoint: e, endpointUnreachable: make(chan struct{})}
+	attempt := &Attempt{Endpoint: e.ID, Addr: e.Addr, Version: e.Version, Load: s.load(now, e), MeanLoad: c.meanLoad(), EligibleCount: len(c.eligible), endpoint: e, endpointUnreachable: make(chan struct{})}
 	attempt.EndpointUnreachable = attempt.endpointUnreachable
 	attempt.CacheSourceAddr = s.cacheSource(now, req.Affinity, e)
 	e.attempts[attempt] = true
--- a/internal/fleet/ids.go
+++ b/internal/fleet/ids.go
@@ -25,6 +25,9 @@
 // ServiceID identifies a plain HTTP service.
 type ServiceID string
 
+// SoftwareVersion is a version of the software of endpoints. Versions are not ordered.
+type SoftwareVersion string
+
 // RequestID identifies one request of a caller. It is unique in the fleet (128 random bits, hex).
 type RequestID string
 
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -33,6 +33,10 @@
 
 	Incarnation   Incarnation   `cbor:"10,keyasint,omitempty" json:"incarnation,omitempty"` // 0: unknown
 	ColdRemaining time.Duration `cbor:"11,keyasint,omitempty" json:"cold_for,omitempty"`    // remaining cold-start time when the entry was written
+
+	// Version is the version of the endpoint's software, which is not that of a model's weights. A stream can
+	// be resumed only at an endpoint of the version that began it.
+	Version SoftwareVersion `cbor:"12,keyasint,omitempty" json:"version,omitempty"`
 }
 
 // Pool identifies a set of endpoints among which load is balanced: all that serve the
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -166,6 +166,7 @@
 func (a *attempt) forwardEvent(resp *exchange.Response, ev *sse.Event, n uint64) bool {
 	a.sendStreamHead(resp)
 	a.response.events++
+	a.events++
 	a.response.lastEventID, a.response.lastEventNumber = string(ev.ID), n
 	_, err := a.w.Write(ev.Raw)
 	if err == nil {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -18,7 +18,7 @@
 func (c *call) runAttempt(ctx context.Context, placed *control.Attempt) delivery {
 	a := &attempt{call: c, placed: placed, startedAt: time.Now()}
 	c.triedEndpoints = append(c.triedEndpoints, placed.Endpoint)
-	event.LogFields(event.AttemptPlaced, "request", c.meta.ID, "endpoint", placed.Endpoint, "addr", placed.Addr, "load", placed.Load, "mean", placed.MeanLoad, "of", placed.EligibleCount, "fetch_at", placed.CacheSourceAddr)
+	event.LogFields(event.AttemptPlaced, "request", c.meta.ID, "endpoint", placed.Endpoint, "version", placed.Version, "addr", placed.Addr, "load", placed.Load, "mean", placed.MeanLoad, "of", placed.EligibleCount, "fetch_at", placed.CacheSourceAddr)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a.watchdog = newWatchdog(a, cancel)
@@ -36,6 +36,7 @@
 	watchdog  *watchdog
 	result    control.AttemptResult
 	status    int
+	events    int // forwarded to the caller by this attempt
 	err       error
 }
 
@@ -55,7 +56,7 @@
 		detail = a.err.Error()
 	}
 	event.LogFields(event.AttemptEnded, "request", a.meta.ID, "endpoint", a.placed.Endpoint, "result", a.result, "status", a.status,
-		"sent", d.maybeSent, "may_have_run", d.mayHaveRun, "took_ms", time.Since(a.startedAt).Milliseconds(), "err", detail)
+		"sent", d.maybeSent, "may_have_run", d.mayHaveRun, "events", a.events, "took_ms", time.Since(a.startedAt).Milliseconds(), "err", detail)
 	a.s.meter.attemptEnded(a)
 }
 
--- a/internal/ingress/fake_test.go
+++ b/internal/ingress/fake_test.go
@@ -96,18 +96,24 @@
 	mu               sync.Mutex
 	requests         []*http.Request
 	bodies           []string
-	reachedEndpoints []string // endpoint that each of the requests reached
+	reachedEndpoints []string                         // endpoint that each of the requests reached
+	versions         map[string]fleet.SoftwareVersion // of the endpoints
 }
 
-// startTestServer runs a server with three endpoints that share a responder.
-func startTestServer(t *testing.T, respond responder) *testServer {
-	ts := &testServer{t: t}
+// startTestServer runs a server with endpoints that share a responder: one of each of the software versions
+// given, or three of one version.
+func startTestServer(t *testing.T, respond responder, versions ...fleet.SoftwareVersion) *testServer {
+	if len(versions) == 0 {
+		versions = []fleet.SoftwareVersion{"v1", "v1", "v1"}
+	}
+	ts := &testServer{t: t, versions: map[string]fleet.SoftwareVersion{}}
 	store := publishedtest.NewStore()
 	store.Write(publishedtest.Config(testConfig()))
-	for i := range 3 {
+	for i, version := range versions {
 		id := fmt.Sprintf("e%d", i)
 		addr := ts.startEndpoint(id, respond)
-		store.Write(publishedtest.Endpoint(fleet.Endpoint{ID: fleet.EndpointID(id), Addr: addr, Service: "s"}, 0))
+		ts.versions[id] = version
+		store.Write(publishedtest.Endpoint(fleet.Endpoint{ID: fleet.EndpointID(id), Addr: addr, Service: "s", Version: version}, 0))
 	}
 	st := control.New(boottime.Now(), control.Options{
 		Self: mesh.Member{ID: "a-1", DataCentre: "a"}, Protocol: publishedtest.Protocol{}, AuthStalenessBound: time.Hour, DenialStalenessBound: time.Hour,
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -23,7 +23,8 @@
 	Prompt          []PromptPart
 	PromptTokens    int
 	MaxOutputTokens int
-	LastEventID     string // last event that the caller received of an interrupted stream, "" for none
+	LastEventID     string          // last event that the caller received of an interrupted stream, "" for none
+	Resumes         fleet.RequestID // request that brought the first event of that stream, "" if not set
 }
 
 // ForwardMetadata holds the values of the headers that the gateway adds to a forwarded request.
