--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
 )
 
 // TestAnswers runs requests against scripted endpoints and checks the response to the caller and
@@ -454,3 +455,28 @@
 		t.Errorf("the connection is still open: %v", err)
 	}
 }
+
+// TestStreamResumedInsideOneAnswerStaysAtItsVersion guards against an answer with events of two versions.
+func TestStreamResumedInsideOneAnswerStaysAtItsVersion(t *testing.T) {
+	const streams = 20
+	for i := range streams {
+		ts := startTestServer(t, func(n int, c net.Conn, _ *http.Request) {
+			writeStreamHead(c)
+			if n == 1 {
+				writeEvents(c, 1, 2)
+				return
+			}
+			writeEvents(c, 3, 4)
+			endChunkedBody(c)
+		}, "v1", "v2", "v1", "v2")
+		ts.send("POST", "resumable", "")
+		_, _, reached := ts.received()
+		versions := map[fleet.SoftwareVersion]bool{}
+		for _, id := range reached {
+			versions[ts.versions[id]] = true
+		}
+		if len(versions) != 1 || len(reached) != 2 {
+			t.Fatalf("stream %d ran at %v, want two endpoints of one version", i, reached)
+		}
+	}
+}
