A stream goes on only at the software version that began it

Cause: a gateway did not know the version of an endpoint, nor where a stream began that a caller resumes, and placed resumed streams, also those that it resumes inside one answer, at any endpoint. Change: the version is part of an endpoint's record. Before the first event of a resumable stream is forwarded, the gateway records its version (package origin); while a service has, or may have, several versions, the record is sent to two gateways of the data centre and two others, chosen by rendezvous hashing. A gateway that resumes a stream uses its record, or the only version that the service has had for as long as a stream may last, or asks the gateways that may hold the record; without any of these it refuses at once. Records whose endpoint may have been restarted with another version before the request was sent count as unknown. Cached parts of a prompt are copied between endpoints of one version only. An entry without version names no endpoint.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -22,6 +22,8 @@
 	ReasonRefused                // endpoints refused the request
 	ReasonRetryBudget            // endpoints failed, and the retry budget is exhausted
 	ReasonMayHaveRun             // a failed endpoint may have run the request, which is not idempotent
+	ReasonOriginUnknown          // it is not known at which version the resumed stream began
+	ReasonVersionGone            // no endpoint of the version at which the resumed stream began is listed
 )
 
 // String returns the reason's stable name in logs and metrics.
@@ -45,6 +47,10 @@
 		return "retry_budget"
 	case ReasonMayHaveRun:
 		return "may_have_run"
+	case ReasonOriginUnknown:
+		return "origin_unknown"
+	case ReasonVersionGone:
+		return "version_gone"
 	default:
 		return "invalid"
 	}
--- a/internal/control/choose.go
+++ b/internal/control/choose.go
@@ -106,7 +106,7 @@
 	return c.eligible[len(c.eligible)-1].endpoint
 }
 
-// cacheSource returns the address of an endpoint that is likely to hold cached prefixes of a
+// cacheSource returns the address of an endpoint of the same version that is likely to hold cached prefixes of a
 // prompt that the chosen endpoint lacks: the endpoint with the highest rendezvous weight if another
 // one was chosen, or the endpoint with the second highest if the chosen one has just started. It
 // returns "" if there is none.
@@ -118,7 +118,7 @@
 	var first, second *endpoint
 	var firstWeight, secondWeight uint64
 	for _, e := range s.services[chosen.Service] {
-		if !e.listed || e.addrReused || e.health.down || s.evacuated[e.DataCentre] {
+		if !e.listed || e.version != chosen.version || e.addrReused || e.health.down || s.evacuated[e.DataCentre] {
 			continue
 		}
 		switch w := fleet.Weight(affinity, e.hash); {
--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -8,6 +8,7 @@
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/origin"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
 
@@ -25,6 +26,9 @@
 	graceUntil            boottime.Instant  // end of the grace period after its entry expired; 0: none
 	removedAt             boottime.Instant  // when it was removed; 0: not removed
 	incarnationKnownSince boottime.Instant  // when its incarnation was first seen or presumed to start (see assumeColdStart)
+	incarnationNotBefore  boottime.Instant  // its incarnation did not start before this time; 0: not known
+	version               origin.Version    // of its software
+	listedAtStart         bool              // it was listed when this process got its first snapshot
 	addrReused            bool              // another endpoint has responded at its address
 	inFlight              int               // requests of this process
 	attempts              map[*Attempt]bool // the attempts of those requests
@@ -45,6 +49,14 @@
 		e = &endpoint{hash: fleet.Hash(string(rec.ID)), incarnationKnownSince: now, attempts: map[*Attempt]bool{}}
 		s.endpoints[rec.ID] = e
 	}
+	version := origin.VersionOf(rec.Version)
+	if e.version != 0 && e.version != version {
+		s.noteVersionReplaced(now, e)
+	}
+	if e.version != 0 && e.Incarnation != rec.Incarnation {
+		e.incarnationNotBefore = s.freshness.confirmedBefore.Add(-registrationDelay)
+	}
+	e.version = version
 	if e.Addr != rec.Addr || e.Incarnation != rec.Incarnation {
 		e.addrReused = false
 		e.health = health{}
@@ -56,6 +68,7 @@
 			"leaving", rec.Leaving, "cold_ms", rec.ColdRemaining.Milliseconds(), "revision", s.mirror.Revision())
 	}
 	e.Endpoint = rec
+	e.listedAtStart = e.listedAtStart || s.firstSnapshot
 	e.listed, e.graceUntil, e.removedAt = true, 0, 0
 	e.coldStart.until = max(e.coldStart.until, now.Add(rec.ColdRemaining))
 }
@@ -79,6 +92,7 @@
 
 func (s *State) removeEndpoint(now boottime.Instant, e *endpoint) {
 	e.graceUntil, e.removedAt = 0, now
+	s.noteVersionReplaced(now, e)
 	s.log(event.EndpointRemoved, "endpoint", e.ID, "service", e.Service, "in_flight", e.inFlight, "revision", s.mirror.Revision())
 }
 
@@ -119,9 +133,11 @@
 // indexServices rebuilds the endpoints of each service, in the order of their IDs.
 func (s *State) indexServices() {
 	clear(s.services)
+	clear(s.endpointsByShort)
 	var listed []uint32
 	for _, e := range s.endpoints {
 		s.services[e.Service] = append(s.services[e.Service], e)
+		s.endpointsByShort[e.shortID()] = e
 		if e.listed {
 			listed = append(listed, e.shortID())
 		}
--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -29,6 +29,7 @@
 	// confirmedAt is the send time of the latest read that is reflected in the mirror, directly or
 	// through a peer: the mirror holds everything that was published before this time.
 	confirmedAt      boottime.Instant
+	confirmedBefore  boottime.Instant // the value of confirmedAt before its last change
 	lastAnsweredRead boottime.Instant // send time of the latest read by this process or a peer that was answered
 	recoveredAt      boottime.Instant // when the store last recovered from an outage
 }
@@ -51,7 +52,9 @@
 // time.
 func (s *State) noteMirrorConfirmed(now, at boottime.Instant) {
 	s.noteStoreResponse(now, at)
-	s.freshness.confirmedAt = max(s.freshness.confirmedAt, at)
+	if at > s.freshness.confirmedAt {
+		s.freshness.confirmedBefore, s.freshness.confirmedAt = s.freshness.confirmedAt, at
+	}
 }
 
 // noteFullSnapshot records that the mirror was filled from a full snapshot. The revision of a full
@@ -100,6 +103,7 @@
 // apply applies an update of the store's items to the mirror and the state derived from it.
 func (s *State) apply(now boottime.Instant, u published.Update) {
 	before := s.mirror.Revision()
+	s.firstSnapshot = before == 0
 	changes := s.mirror.Apply(u)
 	if s.mirror.Revision() != before {
 		s.recentChanges = s.changesForStatus(before)
@@ -119,6 +123,7 @@
 	switch r := r.(type) {
 	case published.Config:
 		s.table = routing.NewTable(r.Config)
+		s.adoptStreamLifetime(r.Config)
 		s.log(event.ConfigAdopted, "version", r.Config.Version, "revision", s.mirror.Revision(),
 			"age_ms", s.SnapshotAge(now).Milliseconds(), "routes", len(r.Config.Routes))
 	case published.Evacuation:
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -180,12 +180,7 @@
 
 // endpointByShortID returns the endpoint with an ID as used in messages to peers, or nil.
 func (s *State) endpointByShortID(short uint32) *endpoint {
-	for _, e := range s.endpoints {
-		if e.shortID() == short {
-			return e
-		}
-	}
-	return nil
+	return s.endpointsByShort[short]
 }
 
 // ownFailureReports returns the endpoints to which this process itself recently failed to
--- /dev/null
+++ b/internal/control/origins_test.go
@@ -0,0 +1,130 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/controltest"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
+)
+
+// streamLoad sends streams through a fleet and resumes each of them at another gateway, and counts what callers
+// see: streams with events of two versions, and resumes that went on.
+type streamLoad struct {
+	w        *controltest.World
+	started  int
+	resumed  int // requests that resume a stream and got a result
+	wentOn   int
+	mixed    int
+	reasons  map[control.Reason]int
+	nextID   int
+	resumeAt func() time.Duration // delay after the first event
+}
+
+// run starts streams at a rate per second until a time.
+func (l *streamLoad) run(perSecond float64, until time.Duration) {
+	interval := time.Duration(l.w.Rand().ExpFloat64() / perSecond * float64(time.Second))
+	l.w.After(interval, func() {
+		if l.w.Elapsed() > until {
+			return
+		}
+		l.begin()
+		l.run(perSecond, until)
+	})
+}
+
+func (l *streamLoad) begin() {
+	l.nextID++
+	st := l.w.NewStream(fleet.RequestID(fmt.Sprintf("stream-%d", l.nextID)))
+	r := chatRequest
+	r.Affinity = fleet.Hash(fmt.Sprint(l.w.Rand().IntN(50)))
+	n := l.randomNode()
+	n.OpenStream(r, st, func(ok bool, _ control.Reason) {
+		if !ok {
+			return
+		}
+		l.started++
+		l.w.After(l.resumeAt(), func() { l.resume(r, st) })
+	})
+}
+
+func (l *streamLoad) resume(r controltest.Request, st *controltest.Stream) {
+	l.randomNode().OpenStream(r, st, func(ok bool, reason control.Reason) {
+		l.resumed++
+		if ok {
+			l.wentOn++
+		} else {
+			l.reasons[reason]++
+		}
+		if len(st.Versions) > 1 {
+			l.mixed++
+		}
+	})
+}
+
+// randomNode returns a running gateway.
+func (l *streamLoad) randomNode() *controltest.Node {
+	for {
+		if n := l.w.Nodes[l.w.Rand().IntN(len(l.w.Nodes))]; n.State != nil && !n.Paused {
+			return n
+		}
+	}
+}
+
+func (l *streamLoad) check(t *testing.T) {
+	t.Helper()
+	t.Logf("%d streams, %d of %d resumes went on, refused: %v", l.started, l.wentOn, l.resumed, l.reasons)
+	if l.mixed > 0 {
+		t.Errorf("%d streams hold events of two versions", l.mixed)
+	}
+	if l.resumed < 12 || 2*l.wentOn < l.resumed {
+		t.Errorf("%d of %d resumed streams went on, want half", l.wentOn, l.resumed)
+	}
+}
+
+func newStreamLoad(w *controltest.World) *streamLoad {
+	return &streamLoad{w: w, reasons: map[control.Reason]int{}, resumeAt: func() time.Duration {
+		return time.Duration(w.Rand().Int64N(int64(2 * time.Second)))
+	}}
+}
+
+func versioned(e *controltest.Endpoint, v fleet.SoftwareVersion) *controltest.Endpoint {
+	e.Version = v
+	return e
+}
+
+// release replaces the engines of a simulation one after the other by engines of another version.
+func release(w *controltest.World, from time.Duration, gap time.Duration, v fleet.SoftwareVersion, engines int, firstID int) {
+	for i := range engines {
+		w.After(from-w.Elapsed()+time.Duration(i)*gap, func() {
+			old := fleet.EndpointID(fmt.Sprintf("engine-%d", i+1))
+			next := engine(firstID+i, w.Endpoints[old].DataCentre)
+			w.Publish(versioned(next, v))
+			leaving := *w.Endpoints[old]
+			leaving.Leaving = true
+			w.Write(publishedtest.Endpoint(leaving.Endpoint, 0))
+			w.After(3*time.Second, func() { w.Remove(old) })
+		})
+	}
+}
+
+// TestStreamsStayAtTheirVersionWhileGatewaysAreKilled plays a release of half of the engines while gateways are
+// killed three at a time and callers resume their streams at any other gateway.
+func TestStreamsStayAtTheirVersionWhileGatewaysAreKilled(t *testing.T) {
+	w := smallFleet(t)
+	l := newStreamLoad(w)
+	l.run(80, 40*time.Second)
+	release(w, 6*time.Second, 400*time.Millisecond, "v2", 5, 100)
+	for at := 8 * time.Second; at < 40*time.Second; at += 3 * time.Second {
+		w.After(at-w.Elapsed(), func() {
+			for range 3 {
+				l.randomNode().RestartAfter(time.Second)
+			}
+		})
+	}
+	w.Run(45 * time.Second)
+	l.check(t)
+}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -131,10 +131,17 @@
 	return s.mesh.Size()
 }
 
-// Receive handles a message from a peer. Messages other than a Status are ignored.
+// Receive handles a message from a peer. Messages of routers are ignored.
 func (s *State) Receive(now boottime.Instant, from fleet.InstanceID, inc fleet.Incarnation, m wire.Message) {
-	if st, ok := m.(wire.Status); ok {
-		s.onStatus(now, from, inc, st)
+	switch m := m.(type) {
+	case wire.Status:
+		s.onStatus(now, from, inc, m)
+	case wire.StreamOrigins:
+		s.receiveOrigins(now, from, m)
+	case wire.OriginQuery:
+		s.answerOriginQuery(now, from, m)
+	case wire.OriginReply:
+		s.receiveOriginReply(from, m)
 	}
 }
 
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/origin"
 )
 
 const (
@@ -16,6 +17,9 @@
 	// noneEligibleRetryAfter is the mean retry-after in all other cases without an eligible endpoint,
 	// for example after endpoints refused the request for lack of capacity.
 	noneEligibleRetryAfter = 250 * time.Millisecond
+	// versionGoneRetryAfter is the mean retry-after of a resumed stream whose version no endpoint offers. An
+	// endpoint that crashed may be restarted with the same version within this time.
+	versionGoneRetryAfter = 2 * time.Second
 )
 
 // Attempt is one attempt of a request at an endpoint. It counts as in flight there until
@@ -30,6 +34,9 @@
 	EligibleCount       int                   // number of eligible endpoints
 	EndpointUnreachable <-chan struct{}       // closed when a connection attempt to the endpoint times out
 
+	version             origin.Version
+	incarnation         fleet.Incarnation
+	sentAt              boottime.Instant
 	endpoint            *endpoint
 	endpointUnreachable chan struct{}
 }
@@ -46,6 +53,7 @@
 	Service  fleet.ServiceID
 	Affinity uint64             // hash of the prompt's shared prefix; 0: none
 	Tried    []fleet.EndpointID // endpoints that already had an attempt; they are not eligible
+	Version  origin.Version     // the only version at which the request may run; 0: any
 }
 
 // Place chooses an endpoint for a request and counts the attempt there until AttemptEnded.
@@ -53,6 +61,9 @@
 	c := s.classify(now, req)
 	if len(c.eligible) == 0 {
 		p := c.rejection()
+		if req.Version != 0 && !s.offersVersion(now, req.Service, req.Version) {
+			p = Placement{Reason: ReasonVersionGone, RetryAfter: versionGoneRetryAfter}
+		}
 		p.RetryAfter = s.jitterRetryAfter(p.RetryAfter)
 		for _, e := range c.down {
 			e.probeRequested = true
@@ -63,7 +74,8 @@
 	e.inFlight++
 	e.coldStart.recordSend(now)
 	s.peerLoads.statusVersion++
-	attempt := &Attempt{Endpoint: e.ID, Addr: e.Addr, Version: e.Version, Load: s.load(now, e), MeanLoad: c.meanLoad(), EligibleCount: len(c.eligible), endpoint: e, endpointUnreachable: make(chan struct{})}
+	attempt := &Attempt{Endpoint: e.ID, Addr: e.Addr, Version: e.Version, Load: s.load(now, e), MeanLoad: c.meanLoad(), EligibleCount: len(c.eligible),
+		version: e.version, incarnation: e.Incarnation, sentAt: now, endpoint: e, endpointUnreachable: make(chan struct{})}
 	attempt.EndpointUnreachable = attempt.endpointUnreachable
 	attempt.CacheSourceAddr = s.cacheSource(now, req.Affinity, e)
 	e.attempts[attempt] = true
@@ -111,6 +123,7 @@
 		}
 		switch {
 		case !s.usable(now, e):
+		case req.Version != 0 && e.version != req.Version:
 		case slices.Contains(req.Tried, e.ID):
 			c.triedCount++
 		case e.health.down:
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -20,6 +20,7 @@
 	RandomSeed uint64 // random; must differ between processes
 	SeedCount  int    // number of control addresses of other gateways in the settings
 	Protocol   published.Protocol
+	StartedAt  time.Time // of the process, on its wall clock; zero: not known
 
 	StrictRevoke         bool          // reject API keys if the snapshot is older than AuthStalenessBound
 	AuthStalenessBound   time.Duration // snapshot age up to which API keys are accepted with StrictRevoke
@@ -44,15 +45,18 @@
 	// last relevant change in it is unknown; 0 once a peer has confirmed the revision or has sent
 	// changes.
 	fullSnapshotAt boottime.Instant
+	firstSnapshot  bool // the update being applied is the first one
 	reader         storeReader
 	pulls          pullState
 	mesh           *mesh.State
 	join           joinState
 	peerLoads      peerLoads
+	origins        origins
 
 	table             *routing.Table // of the current configuration; nil before the first one
 	evacuated         map[fleet.DataCentreID]bool
 	endpoints         map[fleet.EndpointID]*endpoint
+	endpointsByShort  map[uint32]*endpoint            // the same, by their short IDs
 	services          map[fleet.ServiceID][]*endpoint // in the order of their IDs
 	retryWindows      map[fleet.ServiceID]*retry.Window
 	retrySuccessRates map[fleet.ServiceID]float64 // moving average of the success of retries after endpoints' own failures
@@ -71,16 +75,18 @@
 		join:              joinState{processStart: now},
 		evacuated:         map[fleet.DataCentreID]bool{},
 		endpoints:         map[fleet.EndpointID]*endpoint{},
+		endpointsByShort:  map[uint32]*endpoint{},
+		origins:           newOrigins(),
 		services:          map[fleet.ServiceID][]*endpoint{},
 		retryWindows:      map[fleet.ServiceID]*retry.Window{},
 		retrySuccessRates: map[fleet.ServiceID]float64{},
 	}
 }
 
-// Configure replaces the options that may change at run time: all but Self, RandomSeed and Protocol.
+// Configure replaces the options that may change at run time: all but Self, RandomSeed, Protocol and StartedAt.
 // The retry windows of services that have already received requests keep their length.
 func (s *State) Configure(o Options) {
-	o.Self, o.RandomSeed, o.Protocol = s.opts.Self, s.opts.RandomSeed, s.opts.Protocol
+	o.Self, o.RandomSeed, o.Protocol, o.StartedAt = s.opts.Self, s.opts.RandomSeed, s.opts.Protocol, s.opts.StartedAt
 	s.opts = o
 }
 
@@ -91,6 +97,7 @@
 	s.logPeerTransitions(now)
 	s.logAggregators()
 	s.tickEndpoints(now)
+	s.tickOrigins(now)
 	s.checkOutliers(now)
 	s.send(s.mesh.Tick(now, s.localStatus(now)))
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -24,6 +24,8 @@
 	{PeerUnreachable, "peer_unreachable", Warning, "A message to a peer could not be sent, or a pull from a peer failed."},
 	{MessageUnreadable, "message_unreadable", Warning, "A datagram could not be decoded, or the socket returned an error."},
 	{AggregatorsChanged, "aggregators_changed", Info, "The aggregators of this gateway's data centre, as it sees them, have changed."},
+	{OriginsReplicated, "origins_replicated", Info, "The records of where streams began were sent to other gateways, because a service may now have several versions."},
+	{OriginUnknown, "origin_unknown", Warning, "It is not known at which version a stream began that a caller resumes."},
 	{OwnershipGained, "ownership_gained", Info, "This router has become the owner of a resource."},
 	{OwnershipLost, "ownership_lost", Info, "This router is no longer the owner of a resource."},
 	{EndpointCold, "endpoint_cold", Info, "An endpoint has restarted, and its load limit is ramped up."},
--- a/internal/event/number.go
+++ b/internal/event/number.go
@@ -57,6 +57,8 @@
 	SeedUnreachable    Number = 306
 	MessageUnreadable  Number = 308
 	AggregatorsChanged Number = 309
+	OriginsReplicated  Number = 310
+	OriginUnknown      Number = 311
 	EndpointListed     Number = 405
 	EndpointLapsed     Number = 406
 	EndpointRemoved    Number = 407
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,7 +79,9 @@
 	p.store.Store(published.NewClient(settings.Store.Addr, o.Protocol))
 	p.seeds.Store(newSeedClient(settings))
 	randomSeed := newRandomSeed()
-	p.loop = newLoop(control.New(boottime.Now(), settings.controlOptions(randomSeed, o.Protocol)), p.execute)
+	options := settings.controlOptions(randomSeed, o.Protocol)
+	options.StartedAt = time.Now()
+	p.loop = newLoop(control.New(boottime.Now(), options), p.execute)
 	p.callerHandler = ingress.New(p.loop, o.HeaderCodec, p.client, ingress.NewMeter(p.metrics.Scope()))
 	if err := p.listenPeers(randomSeed); err != nil {
 		return err
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -164,6 +164,9 @@
 }
 
 func (a *attempt) forwardEvent(resp *exchange.Response, ev *sse.Event, n uint64) bool {
+	if a.response.events == 0 {
+		a.recordOrigin()
+	}
 	a.sendStreamHead(resp)
 	a.response.events++
 	a.events++
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -37,6 +37,7 @@
 	admission      control.Admission
 	body           []byte
 	deadline       time.Time
+	origin         streamOrigin
 	triedEndpoints []fleet.EndpointID
 	attempts       attemptHistory
 	response       callerResponse
@@ -60,6 +61,9 @@
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	if !c.findOrigin(ctx) {
+		return
+	}
 	c.run(ctx)
 }
 
@@ -208,7 +212,14 @@
 	// The result if the event loop has ended.
 	p := control.Placement{Reason: control.ReasonNoEndpoint, RetryAfter: endedRetryAfter}
 	c.s.control.Do(func(st *control.State, now boottime.Instant) {
-		p = st.Place(now, control.PlacementRequest{Service: c.admission.Service, Affinity: c.affinityKey, Tried: c.triedEndpoints})
+		if c.response.events > 0 {
+			c.origin.version = st.StreamVersion(now, c.origin.stream)
+			if c.origin.version == 0 {
+				p = control.Placement{Reason: control.ReasonOriginUnknown}
+				return
+			}
+		}
+		p = st.Place(now, control.PlacementRequest{Service: c.admission.Service, Affinity: c.affinityKey, Tried: c.triedEndpoints, Version: c.origin.version})
 	})
 	return p
 }
--- /dev/null
+++ b/internal/origin/lookup.go
@@ -0,0 +1,121 @@
+package origin
+
+import (
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+)
+
+const (
+	// repeatAfter is the time after which the gateways that have not replied are asked once more. It is
+	// several round trips between data centres of a region.
+	repeatAfter = 30 * time.Millisecond
+	// lookupTimeout is the time after which a lookup ends without a result.
+	lookupTimeout = 120 * time.Millisecond
+)
+
+// Reply is what another gateway knows about a stream.
+type Reply struct {
+	Version Version // that began the stream, 0: not known
+	Sole    Version // the only version of the route's services for as long as a stream may last, 0: there is none
+}
+
+// Lookup asks other gateways for the origin of one stream. It ends with the first reply that tells it, when
+// all have replied, or after lookupTimeout.
+type Lookup struct {
+	Stream   StreamID
+	Services []uint32 // of the route, as sent to other gateways
+	Version  Version  // that began the stream, once Done is closed; 0: not known
+	Asked    int      // gateways
+	Replies  int
+
+	startedAt boottime.Instant
+	waiting   map[fleet.InstanceID]bool // gateways that have not replied
+	repeated  bool
+	done      chan struct{}
+}
+
+// Done is closed when the lookup has ended.
+func (l *Lookup) Done() <-chan struct{} { return l.done }
+
+// Ended reports whether the lookup has ended.
+func (l *Lookup) Ended() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *Lookup) end(v Version) {
+	l.Version = v
+	close(l.done)
+}
+
+// Resolved returns a lookup that has ended with a version, or with 0 if it is not known.
+func Resolved(id StreamID, v Version) *Lookup {
+	l := &Lookup{Stream: id, done: make(chan struct{})}
+	l.end(v)
+	return l
+}
+
+// Lookups holds the lookups in progress of one gateway.
+type Lookups struct {
+	last    uint32 // number of the last lookup
+	pending map[uint32]*Lookup
+}
+
+// Start starts a lookup that asks some gateways and returns its number.
+func (s *Lookups) Start(now boottime.Instant, id StreamID, ask []fleet.InstanceID) (uint32, *Lookup) {
+	if len(ask) == 0 {
+		return 0, Resolved(id, 0)
+	}
+	if s.pending == nil {
+		s.pending = map[uint32]*Lookup{}
+	}
+	l := &Lookup{Stream: id, Asked: len(ask), startedAt: now, waiting: map[fleet.InstanceID]bool{}, done: make(chan struct{})}
+	for _, a := range ask {
+		l.waiting[a] = true
+	}
+	s.last++
+	s.pending[s.last] = l
+	return s.last, l
+}
+
+// Receive handles the reply of a gateway to a lookup. It ignores replies of gateways that were not asked.
+func (s *Lookups) Receive(number uint32, from fleet.InstanceID, r Reply) {
+	l := s.pending[number]
+	if l == nil || !l.waiting[from] {
+		return
+	}
+	delete(l.waiting, from)
+	l.Replies++
+	v := r.Version
+	if v == 0 {
+		v = r.Sole
+	}
+	if v != 0 || len(l.waiting) == 0 {
+		delete(s.pending, number)
+		l.end(v)
+	}
+}
+
+// Tick ends the lookups that are overdue, and calls repeat for each gateway that is to be asked once more.
+func (s *Lookups) Tick(now boottime.Instant, repeat func(number uint32, l *Lookup, to fleet.InstanceID)) {
+	for number, l := range s.pending {
+		if now.Sub(l.startedAt) >= lookupTimeout {
+			delete(s.pending, number)
+			l.end(0)
+			continue
+		}
+		if l.repeated || now.Sub(l.startedAt) < repeatAfter {
+			continue
+		}
+		l.repeated = true
+		for to := range l.waiting {
+			repeat(number, l, to)
+		}
+	}
+}
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -93,3 +93,12 @@
 	Workspaces []Workspace
 	Limits     Limits
 }
+
+// Services returns the services of the route's targets.
+func (r *Route) Services() []fleet.ServiceID {
+	out := make([]fleet.ServiceID, len(r.Targets))
+	for i, t := range r.Targets {
+		out[i] = t.Service
+	}
+	return out
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -97,6 +97,12 @@
 		return decodeAs[SettleAck](b)
 	case KindStatus:
 		return decodeAs[Status](b)
+	case KindStreamOrigins:
+		return decodeAs[StreamOrigins](b)
+	case KindOriginQuery:
+		return decodeAs[OriginQuery](b)
+	case KindOriginReply:
+		return decodeAs[OriginReply](b)
 	default:
 		return nil, errors.Errorf("unknown message kind %d", k)
 	}
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -1,6 +1,6 @@
 // Package wire defines the messages of the fleet and their CBOR encoding. Gateways exchange
-// only Status, with the types that it contains, and StoreUpdate; routers exchange all other
-// messages.
+// only Status, StreamOrigins, OriginQuery and OriginReply, with the types that they contain, and
+// StoreUpdate; routers exchange all other messages.
 //
 // Messages may be lost, delayed, duplicated or reordered, and every receiver must
 // tolerate all four. Clocks need not be synchronized: no message carries an absolute time
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -28,6 +28,9 @@
 	KindSettleAck
 	KindLeaseHandover
 	KindStatus
+	KindStreamOrigins
+	KindOriginQuery
+	KindOriginReply
 )
 
 // Header precedes every message. The receiver compares the revisions with its own to detect that
@@ -81,3 +84,9 @@
 func (LeaseHandover) Kind() Kind { return KindLeaseHandover }
 
 func (Status) Kind() Kind { return KindStatus }
+
+func (StreamOrigins) Kind() Kind { return KindStreamOrigins }
+
+func (OriginQuery) Kind() Kind { return KindOriginQuery }
+
+func (OriginReply) Kind() Kind { return KindOriginReply }
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -23,6 +23,9 @@
 	KindSettleAck:          "settle_ack",
 	KindLeaseHandover:      "lease_handover",
 	KindStatus:             "status",
+	KindStreamOrigins:      "stream_origins",
+	KindOriginQuery:        "origin_query",
+	KindOriginReply:        "origin_reply",
 }
 
 // String returns the name of the kind in metrics and dumps. The names are stable across versions.
--- a/internal/wire/names_test.go
+++ b/internal/wire/names_test.go
@@ -9,7 +9,7 @@
 // undefined values of all enumerations are named "unknown".
 func TestEveryKindHasItsOwnName(t *testing.T) {
 	seen := map[string]Kind{}
-	for k := KindClaim; k <= KindStatus; k++ {
+	for k := KindClaim; k <= KindOriginReply; k++ {
 		if _, err := decodeBody(k, nil); err != nil && strings.HasPrefix(err.Error(), "unknown message kind") {
 			t.Errorf("kind %d is not decoded", k)
 		}
