--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -109,11 +109,27 @@
 	if len(c.down) > 0 && c.triedCount == 0 {
 		after = downRetryAfter
 	}
-	if len(c.down) == 0 && c.pause > 0 {
-		// The jitter takes up to a quarter off.
-		after = max(after, c.pause*4/3)
+	return Placement{Reason: ReasonNoEndpoint, RetryAfter: max(after, c.commonPause())}
+}
+
+// commonPause returns a retry-after for the time in which all endpoints want no requests, or 0 if some may want
+// one now.
+func (c *endpointClasses) commonPause() time.Duration {
+	if len(c.eligible) > 0 || len(c.down) > 0 {
+		return 0
+	}
+	return c.pause * 4 / 3 // the jitter takes up to a quarter off
+}
+
+// RetryAfter returns when a caller may come back whose request was refused although its endpoints were tried: d, or
+// later if all endpoints want no requests for longer.
+func (s *State) RetryAfter(now boottime.Instant, req PlacementRequest, d time.Duration) time.Duration {
+	req.Tried = nil
+	c := s.classify(now, req)
+	if pause := c.commonPause(); pause > d {
+		return s.jitterRetryAfter(pause)
 	}
-	return Placement{Reason: ReasonNoEndpoint, RetryAfter: after}
+	return d
 }
 
 // shorter returns the shorter of two durations, where 0 stands for none.
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -167,7 +167,7 @@
 			return
 		}
 		if reason := c.reserveRetry(); reason != control.ReasonNone {
-			c.endAttempts(reason, jitteredRetryAfter())
+			c.endAttempts(reason, c.retryAfter())
 			return
 		}
 	}
@@ -224,4 +224,13 @@
 	return p
 }
 
+// retryAfter returns the retry-after of a request that endpoints have refused.
+func (c *call) retryAfter() time.Duration {
+	after := jitteredRetryAfter()
+	c.s.control.Do(func(st *control.State, now boottime.Instant) {
+		after = st.RetryAfter(now, control.PlacementRequest{Service: c.admission.Service, Version: c.origin.version}, after)
+	})
+	return after
+}
+
 func (c *call) elapsed() int64 { return time.Since(c.arrivedAt).Milliseconds() }
