Slow streams are not cut without an alternative; flowing ones survive a failed connection

Looked for after reports of operators of similar systems; both could happen here. A stream whose endpoint paused for longer than the hang timeout was cut before it was known whether another endpoint could go on with it: with one endpoint, or with others of other versions only, the caller lost a sound stream (TestSlowStreamIsNotCutWithoutAnAlternative failed). And one connection to an endpoint that timed out after 150 ms, as after one lost packet, ended all of this gateway's streams there, also those whose events kept arriving, and started them again elsewhere (TestFlowingStreamSurvivesAFailedConnection: 2 attempts, cut by the retry budget). Change: an overdue attempt is cancelled only if an endpoint is eligible and the retry budget allows it, and is checked again every 250 ms; an unreachable endpoint ends an attempt after 350 ms without progress, if it is unreachable still. Result: both tests pass, and TestSilentStreamOfUnreachableEndpointIsResumed (resumed within 2 s).

--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -41,6 +41,9 @@
 	endpointUnreachable chan struct{}
 }
 
+// StreamVersion returns the version at which a stream goes on that the endpoint of the attempt has sent events of.
+func (a *Attempt) StreamVersion() origin.Version { return a.version }
+
 // Placement is the result of Place: an attempt, or the reason why there is none.
 type Placement struct {
 	Reason     Reason
--- a/internal/ingress/watch.go
+++ b/internal/ingress/watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,34 +31,42 @@
 	// hangEventGapFactor times the route's goal for the gap between events is how long a retryable
 	// attempt waits for the next event of a stream.
 	hangEventGapFactor = 4
+	// overdueCheckInterval is the time between two checks whether an overdue request can be retried.
+	overdueCheckInterval = 250 * time.Millisecond
+	// unreachableSilence is how long an attempt has had no progress before it is cancelled because its endpoint is
+	// unreachable.
+	unreachableSilence = 350 * time.Millisecond
 )
 
 // watchdog detects that an attempt makes no progress. Only events of a stream count as progress:
 // neither the head of a response nor the bytes of a buffered body restart the timers. After
-// probeDelay it has the endpoint probed. It cancels a retryable attempt when the endpoint becomes
-// unreachable or when the hang timeout expires, so that the request is retried at another endpoint.
+// probeDelay it has the endpoint probed. It cancels a retryable attempt, so that the request is retried at another
+// endpoint, when the hang timeout expires and another endpoint can take the request, or when the endpoint is
+// unreachable and the attempt has been silent for a while: a single connection that fails is no evidence
+// against a stream whose events keep arriving.
 type watchdog struct {
-	probeTimer *time.Timer
-	hangTimer  *time.Timer // nil for an attempt that must not be retried
-	stopped    chan struct{}
+	attempt      *attempt
+	cancel       context.CancelCauseFunc
+	probeTimer   *time.Timer
+	hangTimer    *time.Timer  // nil for an attempt that must not be retried
+	lastProgress atomic.Int64 // Unix nanoseconds of the start of the attempt or of its last event
+	hasEvents    atomic.Bool
+	retry        control.PlacementRequest // for a retry before the first event
+	stopped      chan struct{}
 }
 
 func newWatchdog(a *attempt, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{stopped: make(chan struct{})}
+	w := &watchdog{attempt: a, cancel: cancel, stopped: make(chan struct{})}
+	w.retry = control.PlacementRequest{Service: a.admission.Service, Tried: slices.Clone(a.triedEndpoints), Version: a.origin.version}
+	w.lastProgress.Store(time.Now().UnixNano())
 	w.probeTimer = time.AfterFunc(probeDelay, func() {
 		a.s.control.Do(func(st *control.State, now boottime.Instant) { st.Suspect(now, a.placed) })
 	})
 	if !a.retryable() {
 		return w
 	}
-	w.hangTimer = time.AfterFunc(max(hangGoalLatencyFactor*a.admission.Route.GoalLatency, minHangTimeout), func() { cancel(errResponseOverdue) })
-	go func() {
-		select {
-		case <-a.placed.EndpointUnreachable:
-			cancel(errEndpointUnreachable)
-		case <-w.stopped:
-		}
-	}()
+	w.hangTimer = time.AfterFunc(max(hangGoalLatencyFactor*a.admission.Route.GoalLatency, minHangTimeout), w.onOverdue)
+	go w.awaitUnreachable()
 	return w
 }
 
@@ -66,8 +76,60 @@
 	return r.Retryable() && a.attempts.mayHaveRunCount+1 < r.MaxAttempts
 }
 
+// onOverdue cancels the attempt if the request can be retried, and otherwise checks again later.
+func (w *watchdog) onOverdue() {
+	if w.canRetry() {
+		w.cancel(errResponseOverdue)
+		return
+	}
+	select {
+	case <-w.stopped:
+	default:
+		w.hangTimer.Reset(overdueCheckInterval)
+	}
+}
+
+// canRetry reports whether another endpoint could take the request now.
+func (w *watchdog) canRetry() bool {
+	req := w.retry
+	if w.hasEvents.Load() {
+		req.Version = w.attempt.placed.StreamVersion()
+	}
+	ok := false
+	w.attempt.s.control.Do(func(st *control.State, now boottime.Instant) { ok = st.CanRetry(now, req) })
+	return ok
+}
+
+// awaitUnreachable cancels the attempt once its endpoint is unreachable and the attempt has made no progress for
+// unreachableSilence.
+func (w *watchdog) awaitUnreachable() {
+	select {
+	case <-w.attempt.placed.EndpointUnreachable:
+	case <-w.stopped:
+		return
+	}
+	for {
+		silentFor := time.Duration(time.Now().UnixNano() - w.lastProgress.Load())
+		if silentFor >= unreachableSilence {
+			break
+		}
+		select {
+		case <-time.After(unreachableSilence - silentFor):
+		case <-w.stopped:
+			return
+		}
+	}
+	unreachable := true
+	w.attempt.s.control.Do(func(st *control.State, _ boottime.Instant) { unreachable = st.Unreachable(w.attempt.placed) })
+	if unreachable {
+		w.cancel(errEndpointUnreachable)
+	}
+}
+
 // progress restarts the timers after the endpoint has sent an event.
 func (w *watchdog) progress(goalEventGap time.Duration) {
+	w.lastProgress.Store(time.Now().UnixNano())
+	w.hasEvents.Store(true)
 	w.probeTimer.Reset(probeDelay)
 	if w.hangTimer != nil {
 		w.hangTimer.Reset(max(hangEventGapFactor*goalEventGap, minHangTimeout))
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -34,15 +34,19 @@
 // AllowRetry counts a retry and returns true if the budget of ratio times the requests plus extra
 // allows it.
 func (w *Window) AllowRetry(now boottime.Instant, ratio, extra float64) bool {
-	s := w.slot(now)
-	requests, retries := w.Counts(now)
-	if float64(retries+1) > ratio*float64(requests)+extra {
+	if !w.WouldAllowRetry(now, ratio, extra) {
 		return false
 	}
-	s.retries++
+	w.slot(now).retries++
 	return true
 }
 
+// WouldAllowRetry reports whether AllowRetry would return true, without counting a retry.
+func (w *Window) WouldAllowRetry(now boottime.Instant, ratio, extra float64) bool {
+	requests, retries := w.Counts(now)
+	return float64(retries+1) <= ratio*float64(requests)+extra
+}
+
 // Counts returns the requests and retries in the window up to now.
 func (w *Window) Counts(now boottime.Instant) (requests, retries int) {
 	oldest := w.slotIndex(now) - windowSlots
