soak: endpoints of several versions, callers that resume streams anywhere

Half of the endpoints of each kind run each of two versions and write theirs into the events. Callers leave streams in the middle or lose them, and resume them, with the ID of the request that brought the first event, at a random gateway. Checked from outside: no stream of two versions, in one response or over a caller's requests; and the share of resumed streams that goes on, against that of new ones that begin. New faults: half of the gateways killed at once, an endpoint restarted under its ID and address with another version, the store restored from an older copy, endpoints that pause or announce their leaving.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -44,7 +44,7 @@
 }
 
 func (r *run) send(ctx context.Context, t http.RoundTripper, g *gateway, kind, key string) response {
-	id := fmt.Sprintf("%016x", uint64(r.opts.LoopbackSubnet)<<48|requestCount.Add(1))
+	id := r.nextID()
 	rec := callerRecord{kind: kind, key: key, sentAt: time.Now()}
 	reqCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
 	defer cancel()
@@ -54,6 +54,11 @@
 	return rec.response
 }
 
+// nextID returns a new request ID.
+func (r *run) nextID() string {
+	return fmt.Sprintf("%016x", uint64(r.opts.LoopbackSubnet)<<48|requestCount.Add(1))
+}
+
 func roundTrip(ctx context.Context, t http.RoundTripper, g *gateway, kind, id, key string) response {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.callerAddr+"/"+kind+"/x", strings.NewReader("body of "+id))
 	if err != nil {
@@ -77,13 +82,10 @@
 // checkBody returns the violation in the body of a 200 response, or "". A truncated body must be a
 // prefix of the expected one.
 func checkBody(kind, id, body string, complete bool) string {
-	want := fullBody(id)
 	if kind == "streaming" || kind == "resumable" {
-		want = ""
-		for n := uint64(1); n <= streamEvents; n++ {
-			want += streamEvent(id, n)
-		}
+		return checkStream(parseStream(id, body, 0), complete)
 	}
+	want := fullBody(id)
 	switch {
 	case complete && body != want:
 		return fmt.Sprintf("complete response has %d bytes, want %d: %.60q", len(body), len(want), body)
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	endpointsPerKind = 3
+	endpointsPerKind = 4
 	streamEvents     = 6
 	eventInterval    = 15 * time.Millisecond
 	hangDuration     = 2 * time.Second
@@ -30,11 +30,17 @@
 	modeClosing         // executes the request and closes the connection without a response
 	modeHanging         // executes the request for hangDuration before it responds
 	modeTruncating      // executes the request and closes the connection in the middle of the response body
+	modePausing         // refuses requests and wants none from the gateway for pauseLength
+	modeLeaving         // executes the request and says that it leaves
 	modeCount
 )
 
+// pauseLength is the time for which an endpoint in modePausing wants no requests from a gateway that it has refused
+// one of.
+const pauseLength = 2 * time.Second
+
 func (m mode) String() string {
-	return [...]string{"sound", "failing", "closing", "hanging", "truncating the response"}[m]
+	return [...]string{"sound", "failing", "closing", "hanging", "truncating the response", "pausing", "leaving"}[m]
 }
 
 // endpoint is an endpoint of one route kind behind a fault-injecting proxy (package link). It records each
@@ -48,11 +54,13 @@
 
 	mu              sync.Mutex
 	mode            mode
+	version         string    // of its software
+	startedAt       time.Time // of its process
 	lastDisturbance time.Time // last change of its mode or of the faults of its proxy
 }
 
-func startEndpoint(id, kind string, l *ledger) (*endpoint, error) {
-	e := &endpoint{id: id, kind: kind, ledger: l, serveDone: make(chan struct{})}
+func startEndpoint(id, kind, version string, l *ledger) (*endpoint, error) {
+	e := &endpoint{id: id, kind: kind, ledger: l, serveDone: make(chan struct{}), version: version, startedAt: time.Now().Add(-time.Hour)}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -70,7 +78,26 @@
 }
 
 func (e *endpoint) item(draining bool) published.Item {
-	return platformtest.Endpoint(e.id, e.kind, e.link.Addr(), "a", draining)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return platformtest.EndpointEntry{ID: e.id, Service: e.kind, Addr: e.link.Addr(), DataCentre: "a", Version: e.version, StartedAt: e.startedAt, Draining: draining}.Item()
+}
+
+// restart gives the endpoint another software version and incarnation.
+func (e *endpoint) restart(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version, e.startedAt, e.mode, e.lastDisturbance = version, time.Now(), modeHealthy, time.Now()
+}
+
+// soundVersion returns the version of an endpoint without a fault, or "".
+func (e *endpoint) soundVersion() string {
+	if _, faulty := e.faultState(); faulty {
+		return ""
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
 }
 
 // setMode changes the failure mode and records the time of the change as a disturbance.
@@ -107,8 +134,15 @@
 		violation = fmt.Sprintf("forwarded with workspace %q, caller key present: %t", f.Workspace, f.Key != "")
 	}
 	m, duringFault := e.faultState()
+	if m == modePausing {
+		platformtest.Refuse(w, pauseLength)
+		return
+	}
 	e.ledger.recordExecution(f.ID, duringFault, violation)
 	platformtest.StampResponse(w.Header(), f.ID)
+	if m == modeLeaving {
+		platformtest.AnnounceLeaving(w.Header())
+	}
 	switch m {
 	case modeFailing:
 		http.Error(w, "failed", http.StatusInternalServerError)
@@ -138,11 +172,14 @@
 func (e *endpoint) stream(w http.ResponseWriter, f platformtest.Forwarded, m mode) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
+	e.mu.Lock()
+	version := e.version
+	e.mu.Unlock()
 	for n := f.LastEvent + 1; n <= streamEvents; n++ {
 		if m == modeTruncating && n == streamEvents/2 {
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprint(w, streamEvent(f.ID, n))
+		_, _ = fmt.Fprint(w, streamEvent(f.ID, n, version))
 		_ = rc.Flush() // the gateway may have closed the connection
 		time.Sleep(eventInterval)
 	}
@@ -157,5 +194,7 @@
 // fullBody returns the complete response body of a request that isn't streamed.
 func fullBody(id string) string { return fmt.Sprintf("this is the answer to %s and to no other", id) }
 
-// streamEvent returns the n-th event of the response to a streaming request, from 1.
-func streamEvent(id string, n uint64) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id) }
+// streamEvent returns the n-th event, from 1, of the response of an endpoint of a version to a streaming request.
+func streamEvent(id string, n uint64, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, id, version)
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,6 +16,7 @@
 	meanFaultInterval = 400 * time.Millisecond // mean interval between the starts of two faults
 	maxFaultDuration  = 5 * time.Second        // upper bound of the random part of the duration of a fault
 	routeTimeout      = 3 * time.Second        // request timeout in the published configuration
+	republishDelay    = 500 * time.Millisecond // from the store's return with an older copy until it has what it lost
 )
 
 // fault starts a fault or an operation (planned stop, reload, publication, key rotation) and schedules what
@@ -29,6 +30,7 @@
 	(*run).storeOutage, (*run).storeLinkFault, (*run).storeLinkFault,
 	(*run).endpointFailure, (*run).endpointFailure, (*run).endpointLinkFault, (*run).drainEndpoint,
 	(*run).rotateKey, (*run).publishConfig,
+	(*run).upgradeEndpoint, (*run).upgradeEndpoint, (*run).killHalf, (*run).restoreStore,
 }
 
 // injectFaults starts random faults until a time, then waits until the functions passed to runAfter have
@@ -80,6 +82,47 @@
 	})
 }
 
+// killHalf kills half of the gateways at once, so that callers resume many streams at the others.
+func (r *run) killHalf(d time.Duration) {
+	r.logFault("half of the gateways: killed")
+	for _, i := range r.rng.Perm(len(r.fleet.gateways))[:len(r.fleet.gateways)/2] {
+		g := r.fleet.gateways[i]
+		g.signal(syscall.SIGKILL)
+		r.runAfter(d/4, func() {
+			g.markDisturbed()
+			r.restartGateway(g)
+		})
+	}
+}
+
+// upgradeEndpoint restarts an endpoint under its ID and address with another version.
+func (r *run) upgradeEndpoint(d time.Duration) {
+	e, version := r.pickEndpoint(), softwareVersions[r.rng.IntN(len(softwareVersions))]
+	r.logFault("%s of %s: restarts with version %s", e.id, e.kind, version)
+	e.injectLinkFaults(link.Faults{Cut: true})
+	r.runAfter(d/10, func() {
+		e.restart(version)
+		e.injectLinkFaults(link.Faults{})
+		r.fleet.store.Write(e.item(false))
+	})
+}
+
+// restoreStore restores the store from a copy of d before; the operator and the endpoints then write again what they
+// had written.
+func (r *run) restoreStore(d time.Duration) {
+	copied := r.fleet.store.Copy()
+	r.runAfter(d/2, func() {
+		r.logFault("store returns with a copy of %v before", (d / 2).Round(time.Millisecond))
+		r.markAllDisturbed()
+		r.fleet.store.Restore(copied)
+		time.Sleep(republishDelay)
+		r.fleet.store.Write(r.currentConfig())
+		for _, e := range r.endpoints {
+			r.fleet.store.Write(e.item(false))
+		}
+	})
+}
+
 func (r *run) pauseGateway(d time.Duration) {
 	g := r.pickGateway()
 	r.logFault("%s: paused for %v", g.name, d)
@@ -178,6 +221,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.configVersion++
+	return r.config()
+}
+
+// currentConfig returns the configuration that was published last.
+func (r *run) currentConfig() published.Item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.config()
+}
+
+// config returns the configuration of the current version and keys; r.mu must be held.
+func (r *run) config() published.Item {
 	return platformtest.Config(r.configVersion, routeTimeout, r.validKeys...)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -9,6 +9,9 @@
 //   - a request that is sent with a revoked key is not executed once the revocation delay has passed
 //   - a request that is executed while neither its gateway nor its endpoint is disturbed gets a response;
 //     planned stops and reloads, which must lose no request, are no disturbances
+//   - no stream holds events of two software versions, within one response or over the requests of its caller
+//   - of the streams that callers resume at undisturbed gateways while two sound endpoints have their version, the
+//     share that goes on is at least half of the share of new streams that begin
 //   - every gateway answers requests again within recoveryTimeout after the last fault
 //   - a gateway exits only on request, and a planned stop ends in time and without an error
 //
@@ -47,12 +50,18 @@
 	callerCount        = 12
 )
 
+// softwareVersions are the versions of the endpoints. At the start, half of the endpoints of a kind have each of
+// the first two.
+var softwareVersions = []string{"v1", "v1.1", "v1.2"}
+
 // Report is the result of a run.
 type Report struct {
 	Seed       uint64
 	Requests   int
 	Answered   int      // complete 200 response
 	Refused    int      // 429 or 503
+	Resumed    int      // requests that resume a stream at an undisturbed gateway, while two sound endpoints have its version
+	WentOn     int      // those of them that brought an event
 	Unknown    int      // no response, or any other one, such as 401, 5xx and truncated bodies
 	Faults     []string // log of the injected faults, with their times
 	Violations []string
@@ -60,8 +69,8 @@
 
 // String formats the report as text, one line per violation.
 func (r Report) String() string {
-	out := fmt.Sprintf("seed %d: %d requests, %d answered, %d refused, %d unknown, %d faults, %d violations",
-		r.Seed, r.Requests, r.Answered, r.Refused, r.Unknown, len(r.Faults), len(r.Violations))
+	out := fmt.Sprintf("seed %d: %d requests, %d answered, %d refused, %d unknown, %d of %d resumed streams went on, %d faults, %d violations",
+		r.Seed, r.Requests, r.Answered, r.Refused, r.Unknown, r.WentOn, r.Resumed, len(r.Faults), len(r.Violations))
 	for _, v := range r.Violations {
 		out += "\n  " + v
 	}
@@ -75,6 +84,7 @@
 	fleet     *fleet
 	endpoints []*endpoint
 	ledger    *ledger
+	streams   streamLedger
 	startTime time.Time
 
 	mu            sync.Mutex
@@ -106,6 +116,9 @@
 	for i := range callerCount {
 		wg.Go(func() { r.runCaller(callerCtx, i) })
 	}
+	for i := range streamCallerCount {
+		wg.Go(func() { r.runStreamCaller(callerCtx, i) })
+	}
 	r.injectFaults(ctx, time.Now().Add(o.FaultDuration))
 	r.restoreHealthyState()
 	recovered := r.waitUntil(ctx, recoveryTimeout, r.allGatewaysServe)
@@ -116,7 +129,9 @@
 	if !recovered && ctx.Err() == nil {
 		report.Violations = append(report.Violations, fmt.Sprintf("not every gateway is serving %v after the last fault", recoveryTimeout))
 	}
+	report.Violations = append(report.Violations, r.streams.report()...)
 	report.Violations = append(report.Violations, r.fleet.processViolations()...)
+	report.Resumed, report.WentOn = r.streams.resumed, r.streams.wentOn
 	return report, r.save(report)
 }
 
@@ -134,7 +149,7 @@
 		return err
 	}
 	for i := range endpointsPerKind * len(routeKinds) {
-		e, err := startEndpoint(fmt.Sprintf("i-%d", i), routeKinds[i%len(routeKinds)], r.ledger)
+		e, err := startEndpoint(fmt.Sprintf("i-%d", i), routeKinds[i%len(routeKinds)], softwareVersions[i/len(routeKinds)%2], r.ledger)
 		if err != nil {
 			return err
 		}
