An older copy of the store does not bring back an endpoint's former incarnation

In a later era, an entry of an earlier incarnation now does not replace the known one (TestOlderCopyDoesNotUndoChanges, which failed before).

--- a/internal/published/era.go
+++ b/internal/published/era.go
@@ -26,7 +26,8 @@
 func StoreRevision(r fleet.Revision) fleet.Revision { return r & revisionMask }
 
 // supersedes reports whether a record of a key replaces the one before it. Configurations are numbered: one with a
-// lower version is a copy of a former one. An incarnation of an endpoint that is leaving stays so in a later era.
+// lower version is a copy of a former one. In a later era, an endpoint's earlier incarnation is one too, and an
+// incarnation that is leaving stays so.
 func supersedes(next, last Record, laterEra bool) bool {
 	switch next := next.(type) {
 	case Config:
@@ -34,8 +35,13 @@
 		return !ok || next.Config.Version >= last.Config.Version
 	case Endpoint:
 		last, ok := last.(Endpoint)
-		sameProcess := ok && last.Endpoint.Incarnation == next.Endpoint.Incarnation
-		return !laterEra || !sameProcess || !last.Endpoint.Leaving || next.Endpoint.Leaving
+		if !ok || !laterEra {
+			return true
+		}
+		if next.Endpoint.Incarnation != last.Endpoint.Incarnation {
+			return next.Endpoint.Incarnation > last.Endpoint.Incarnation
+		}
+		return next.Endpoint.Leaving || !last.Endpoint.Leaving
 	default:
 		return true
 	}
--- a/internal/published/mirror_test.go
+++ b/internal/published/mirror_test.go
@@ -230,16 +230,17 @@
 }
 
 // TestOlderCopyDoesNotUndoChanges restores the store from an older copy. A mirror must then hold the newer configuration
-// and an endpoint's leaving, take the changes of the new era although their revisions are used again, and pass all of
+// and an endpoint's leaving and later incarnation, take the changes of the new era although their revisions are used again, and pass all of
 // that on to a mirror of the former era.
 func TestOlderCopyDoesNotUndoChanges(t *testing.T) {
 	store := publishedtest.NewStore()
-	e := endpoint(1)
-	e.Incarnation = 7
-	store.Write(publishedtest.Config(&routing.Config{Version: 4}), publishedtest.Endpoint(e, 1))
+	e, restarted := endpoint(1), endpoint(4)
+	e.Incarnation, restarted.Incarnation = 7, 7
+	store.Write(publishedtest.Config(&routing.Config{Version: 4}), publishedtest.Endpoint(e, 1), publishedtest.Endpoint(restarted, 1))
 	copied := store.Copy()
 	e.Leaving = true
-	store.Write(publishedtest.Config(&routing.Config{Version: 9}), publishedtest.Endpoint(e, 2), publishedtest.Endpoint(endpoint(2), 1))
+	restarted.Incarnation, restarted.Version = 8, "v2"
+	store.Write(publishedtest.Config(&routing.Config{Version: 9}), publishedtest.Endpoint(e, 2), publishedtest.Endpoint(endpoint(2), 1), publishedtest.Endpoint(restarted, 1))
 	m, follower := published.NewMirror(publishedtest.Protocol{}), published.NewMirror(publishedtest.Protocol{})
 	m.Apply(store.Update(true, 0))
 	follower.Apply(m.Since(0))
@@ -269,6 +270,9 @@
 		if r, ok := got["endpoint/e1"].(published.Endpoint); !ok || !r.Endpoint.Leaving {
 			t.Errorf("%s: %+v, want it leaving", name, got["endpoint/e1"])
 		}
+		if r, ok := got["endpoint/e4"].(published.Endpoint); !ok || r.Endpoint.Version != "v2" {
+			t.Errorf("%s: %+v, want its later incarnation", name, got["endpoint/e4"])
+		}
 		if got["endpoint/e2"] != nil || got["endpoint/e3"] == nil {
 			t.Errorf("%s: e2 %v, e3 %v, want what the new era has", name, got["endpoint/e2"], got["endpoint/e3"])
 		}
