A resumed stream avoids an endpoint whose entry may be outdated

Cause: an endpoint that was down may be another process, with another version, whose entry has not arrived yet; streams of its former version were resumed there, and streams that began there were recorded at the former version. Until then no stream is resumed there, and a record of a stream that begins there counts only once the entry is confirmed to be the same.

--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -26,6 +26,7 @@
 	graceUntil            boottime.Instant  // end of the grace period after its entry expired; 0: none
 	removedAt             boottime.Instant  // when it was removed; 0: not removed
 	incarnationKnownSince boottime.Instant  // when its incarnation was first seen or presumed to start (see assumeColdStart)
+	entryNeededSince      boottime.Instant  // its entry is certain once the snapshot is confirmed as of this time, see versionCertain
 	incarnationNotBefore  boottime.Instant  // its incarnation did not start before this time; 0: not known
 	version               origin.Version    // of its software
 	listedAtStart         bool              // it was listed when this process got its first snapshot
@@ -68,6 +69,7 @@
 		e.addrReused = false
 		e.announcedLeaving = false
 		e.health = health{}
+		e.entryNeededSince = 0
 		e.outlier = outlierState{}
 		e.incarnationKnownSince = now
 	}
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -80,6 +80,7 @@
 	}
 	s.log(event.EndpointUp, "endpoint", e.ID, "addr", e.Addr, "down_ms", now.Sub(h.downSince).Milliseconds())
 	h.down, h.timedOut, h.consecutiveFailures, h.ownDownAt = false, false, 0, 0
+	s.noteReconnected(now, e)
 	s.peerLoads.statusVersion++
 	s.assumeColdStart(now, e)
 }
--- a/internal/control/origins.go
+++ b/internal/control/origins.go
@@ -21,6 +21,9 @@
 	// soleVersionStaleness is the snapshot age up to which a service may count as having one version: an
 	// endpoint of another one may have been listed since.
 	soleVersionStaleness = time.Second
+	// reconnectRegistrationDelay is how long after the first connection to an endpoint that was down its entry may
+	// still be that of the process before.
+	reconnectRegistrationDelay = time.Second
 	// registrationDelay is how long after its start an endpoint's new incarnation may publish its entry.
 	registrationDelay = 2 * time.Second
 	// clockTolerance is how far the wall clocks of gateways and endpoints may differ.
@@ -126,6 +129,7 @@
 		Endpoint:    a.endpoint.shortID(),
 		Incarnation: a.incarnation,
 		SentAt:      a.sentAt,
+		Certain:     a.versionCertain,
 		Expires:     now.Add(min(resumableFor, s.origins.streamLifetime)),
 		Service:     a.endpoint.Service,
 		Own:         true,
@@ -166,6 +170,7 @@
 		Endpoint:    r.Endpoint,
 		Incarnation: r.Incarnation,
 		AgeMS:       uint32(now.Sub(r.SentAt) / time.Millisecond),
+		Certain:     r.Certain,
 		LeftMS:      uint32(r.Expires.Sub(now) / time.Millisecond),
 	}
 }
@@ -187,6 +192,7 @@
 			Endpoint:    o.Endpoint,
 			Incarnation: o.Incarnation,
 			SentAt:      now.Add(-time.Duration(o.AgeMS) * time.Millisecond),
+			Certain:     o.Certain,
 			Expires:     now.Add(left),
 		})
 	}
@@ -227,14 +233,32 @@
 	return lookup
 }
 
+// versionCertain reports whether an endpoint has the version of its entry. After it was down, it may be another
+// process with another version, whose entry this process does not have yet.
+func (s *State) versionCertain(e *endpoint) bool {
+	return s.freshness.confirmedAt >= e.entryNeededSince
+}
+
+// noteReconnected records that an endpoint that was down has accepted a connection.
+func (s *State) noteReconnected(now boottime.Instant, e *endpoint) {
+	e.entryNeededSince = now.Add(reconnectRegistrationDelay)
+}
+
 // recordedVersion returns the version of a record, or 0 if the endpoint may have been restarted with another
 // version before the request was sent: its entry was then the former one.
 func (s *State) recordedVersion(r origin.Record) origin.Version {
 	e := s.endpointByShortID(r.Endpoint)
-	if e == nil || e.version == r.Version || e.Incarnation == r.Incarnation || r.SentAt.Before(e.incarnationNotBefore) {
+	switch {
+	case e == nil || e.Incarnation == r.Incarnation:
+		if r.Certain || e != nil && s.freshness.confirmedAt >= r.SentAt.Add(reconnectRegistrationDelay) {
+			return r.Version
+		}
+		return 0
+	case e.version == r.Version || r.SentAt.Before(e.incarnationNotBefore):
 		return r.Version
+	default:
+		return 0
 	}
-	return 0
 }
 
 // answerOriginQuery replies to a peer with what this process knows about a stream.
--- a/internal/control/origins_test.go
+++ b/internal/control/origins_test.go
@@ -128,3 +128,32 @@
 	w.Run(45 * time.Second)
 	l.check(t)
 }
+
+// TestResumedStreamAvoidsAnEndpointWhoseEntryMayBeOutdated restarts an engine under its ID with another version, and writes
+// its entry 500 ms later. Streams of its former version must not be resumed there, and streams that begin there in between
+// must not be resumed at the former version.
+func TestResumedStreamAvoidsAnEndpointWhoseEntryMayBeOutdated(t *testing.T) {
+	w := smallFleet(t)
+	for i := range 4 {
+		e := w.Endpoints[fleet.EndpointID(fmt.Sprintf("engine-%d", i+1))]
+		w.Publish(versioned(e, "v2"))
+	}
+	w.Run(time.Second)
+	l := newStreamLoad(w)
+	l.resumeAt = func() time.Duration { return time.Duration(w.Rand().Int64N(int64(400 * time.Millisecond))) }
+	l.run(300, 40*time.Second)
+	for at, n := 5*time.Second, 0; at < 38*time.Second; at, n = at+time.Second, n+1 {
+		w.After(at-w.Elapsed(), func() {
+			e := w.Endpoints[fleet.EndpointID(fmt.Sprintf("engine-%d", n%9+1))]
+			e.Down = true
+			w.After(600*time.Millisecond, func() {
+				e.Down = false
+				e.Incarnation++
+				e.Version = []fleet.SoftwareVersion{"v2", "v3"}[n%2]
+				w.After(500*time.Millisecond, func() { w.Publish(e) })
+			})
+		})
+	}
+	w.Run(45 * time.Second)
+	l.check(t)
+}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -35,6 +35,7 @@
 	EndpointUnreachable <-chan struct{}       // closed when a connection attempt to the endpoint times out
 
 	version             origin.Version
+	versionCertain      bool
 	incarnation         fleet.Incarnation
 	sentAt              boottime.Instant
 	endpoint            *endpoint
@@ -78,7 +79,7 @@
 	e.coldStart.recordSend(now)
 	s.peerLoads.statusVersion++
 	attempt := &Attempt{Endpoint: e.ID, Addr: e.Addr, Version: e.Version, Load: s.load(now, e), MeanLoad: c.meanLoad(), EligibleCount: len(c.eligible),
-		version: e.version, incarnation: e.Incarnation, sentAt: now, endpoint: e, endpointUnreachable: make(chan struct{})}
+		version: e.version, versionCertain: s.versionCertain(e), incarnation: e.Incarnation, sentAt: now, endpoint: e, endpointUnreachable: make(chan struct{})}
 	attempt.EndpointUnreachable = attempt.endpointUnreachable
 	attempt.CacheSourceAddr = s.cacheSource(now, req.Affinity, e)
 	e.attempts[attempt] = true
@@ -156,7 +157,7 @@
 		}
 		switch {
 		case !s.usable(now, e):
-		case req.Version != 0 && e.version != req.Version:
+		case req.Version != 0 && (e.version != req.Version || !s.versionCertain(e)):
 		case now.Before(e.noRequestsUntil):
 			c.pause = shorter(c.pause, e.noRequestsUntil.Sub(now))
 		case slices.Contains(req.Tried, e.ID):
--- a/internal/controltest/stream.go
+++ b/internal/controltest/stream.go
@@ -77,17 +77,27 @@
 			n.endAttempt(process, p.Attempt, control.ConnectionRefused, func() { n.placeStream(req, st, done) })
 			return
 		}
-		version := e.Version
+		version, engineProcess := e.Version, e.Incarnation
 		w.After(firstEventDelay, func() {
 			if n.incarnation != process {
 				return
 			}
+			if e.Down || e.Incarnation != engineProcess {
+				n.endAttempt(process, p.Attempt, control.ResponseBroken, func() { n.placeStream(req, st, done) })
+				return
+			}
 			n.run(func() {
 				n.State.StreamStarted(w.Now(), st.ID, p.Attempt, streamTimeout-(w.Elapsed()-st.StartAt))
 				st.Versions[version] = true
 				done(true, control.ReasonNone)
 			})
-			w.After(e.ServiceTime, func() { n.endAttempt(process, p.Attempt, control.ResponseComplete, func() {}) })
+			w.After(e.ServiceTime, func() {
+				result := control.ResponseComplete
+				if e.Down || e.Incarnation != engineProcess {
+					result = control.ResponseBroken
+				}
+				n.endAttempt(process, p.Attempt, result, func() {})
+			})
 		})
 	})
 }
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -33,6 +33,7 @@
 	Endpoint    uint32 // low 32 bits of the hash of the endpoint's ID
 	Incarnation fleet.Incarnation
 	SentAt      boottime.Instant // not after the request was sent to the endpoint
+	Certain     bool             // the endpoint's entry was certain to be that of its process
 	Expires     boottime.Instant // when the caller cannot resume the stream any more
 	Service     fleet.ServiceID  // that the stream began at, "" if not known
 	Own         bool             // this gateway forwarded the stream
--- a/internal/wire/origin.go
+++ b/internal/wire/origin.go
@@ -10,6 +10,7 @@
 	Endpoint    uint32   // low 32 bits of fleet.Hash of the endpoint's ID
 	Incarnation fleet.Incarnation
 	AgeMS       uint32 // since the request was sent to the endpoint
+	Certain     bool   // the version was certain to be that of the endpoint's process
 	LeftMS      uint32 // until the caller cannot resume the stream any more
 }
 
