--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -8,6 +8,7 @@
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/mesh"
+	"github.com/dandelionvane/dandelionvane/internal/published"
 )
 
 // Dump is a snapshot of the decision state for operators.
@@ -20,10 +21,17 @@
 	// Aggregators are those of the gateway's data centre, in their order; none in a small fleet.
 	Aggregators []fleet.InstanceID   `json:"aggregators"`
 	Evacuated   []fleet.DataCentreID `json:"data_centres_out"`
+	Origins     OriginsDump          `json:"stream_origins"`
 	Services    []ServiceDump        `json:"services"`
 	Endpoints   []EndpointDump       `json:"endpoints"`
 }
 
+// OriginsDump is the state of the records of where streams began.
+type OriginsDump struct {
+	Records int `json:"records"`
+	Dropped int `json:"dropped"` // records of peers that did not fit
+}
+
 // StoreDump is the state of the local snapshot of the platform's store.
 type StoreDump struct {
 	Revision      fleet.Revision `json:"revision"`
@@ -31,6 +39,7 @@
 	AgeMS         int64          `json:"age_ms"` // time since the last read that confirmed the snapshot was sent
 	ReadsFailing  bool           `json:"reads_fail"`
 	ReaderRank    int            `json:"reader_rank"` // position in the order in which gateways read the store
+	Era           uint64         `json:"era"`         // how many times the store has returned with an older copy; upper bits of the revision
 }
 
 // ServiceDump is the state of a service's retry budget in this process.
@@ -50,6 +59,8 @@
 	Addr            string             `json:"addr"`
 	Usable          bool               `json:"usable"`
 	Leaving         bool               `json:"leaving"`
+	Version         string             `json:"version"` // of its software
+	Paused          bool               `json:"paused"`  // it wants no requests from this gateway for a time
 	AddrReused      bool               `json:"moved"`
 	Down            bool               `json:"down"`
 	Avoided         bool               `json:"avoided"`
@@ -65,7 +76,8 @@
 		Ready:    s.Ready(now),
 		Stopping: s.stopping,
 		Store: StoreDump{
-			Revision:     s.mirror.Revision(),
+			Revision:     published.StoreRevision(s.mirror.Revision()),
+			Era:          published.EraOf(s.mirror.Revision()),
 			AgeMS:        s.SnapshotAge(now).Milliseconds(),
 			ReadsFailing: s.reader.failing,
 			ReaderRank:   s.mesh.ReaderRank(now, s.reader.failedRecently(now)),
@@ -74,6 +86,7 @@
 		LivePeers: s.mesh.LivePeers(now),
 
 		Aggregators: s.mesh.LocalAggregators(),
+		Origins:     OriginsDump{Records: s.origins.table.Len(), Dropped: s.origins.table.Dropped()},
 	}
 	if s.table != nil {
 		d.Store.ConfigVersion = s.table.Config().Version
@@ -101,7 +114,7 @@
 func (s *State) dumpEndpoint(now boottime.Instant, e *endpoint) EndpointDump {
 	return EndpointDump{
 		ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, Addr: e.Addr,
-		Usable: s.usable(now, e), Leaving: e.Leaving, AddrReused: e.addrReused, Down: e.health.down,
+		Usable: s.usable(now, e), Leaving: e.Leaving || e.announcedLeaving, Version: string(e.Version), Paused: now.Before(e.noRequestsUntil), AddrReused: e.addrReused, Down: e.health.down,
 		Avoided:         now.Before(e.health.avoidUntil),
 		ColdRemainingMS: max(e.coldStart.until.Sub(now), 0*time.Millisecond).Milliseconds(),
 		InFlight:        e.inFlight, Load: s.load(now, e), FailureRate: e.health.failureRate,
--- a/internal/control/origins_test.go
+++ b/internal/control/origins_test.go
@@ -157,3 +157,79 @@
 	w.Run(45 * time.Second)
 	l.check(t)
 }
+
+// originTraffic is the traffic of messages about where streams began, per gateway and second, and what gateways hold.
+type originTraffic struct {
+	messages, bytes float64
+	records         int // highest number in one gateway
+}
+
+func measureOrigins(w *controltest.World, span time.Duration) originTraffic {
+	for _, n := range w.Nodes {
+		n.OriginsSent, n.OriginsBytes = 0, 0
+	}
+	w.Run(span)
+	var out originTraffic
+	for _, n := range w.Nodes {
+		out.messages += float64(n.OriginsSent) / float64(len(w.Nodes)) / span.Seconds()
+		out.bytes += float64(n.OriginsBytes) / float64(len(w.Nodes)) / span.Seconds()
+		if n.State != nil {
+			out.records = max(out.records, n.State.Dump(w.Now()).Origins.Records)
+		}
+	}
+	return out
+}
+
+// TestStreamsStayAtTheirVersionInLargeFleets loses all gateways of a data centre, and then cuts another one off, while two
+// versions serve. It logs what replicating the origins of streams costs.
+func TestStreamsStayAtTheirVersionInLargeFleets(t *testing.T) {
+	for name, size := range map[string]struct {
+		perDataCentre []int
+		streams       float64 // per second
+	}{
+		"8 gateways":   {[]int{2, 2, 2, 2}, 86},
+		"83 gateways":  {[]int{24, 20, 19, 20}, 800},
+		"295 gateways": {[]int{50, 49, 49, 49, 49, 49}, 2800},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Logf("seed %d", seed)
+			w := controltest.New(seed, size.perDataCentre...)
+			w.Write(publishedtest.Config(config(1, "key")))
+			engines := 0
+			for dc := range size.perDataCentre {
+				for range 24 {
+					engines++
+					w.Publish(versioned(engine(engines, fleet.DataCentreID(rune('a'+dc))), fleet.SoftwareVersion([]string{"v1", "v2"}[engines%2])))
+				}
+			}
+			w.Run(6 * time.Second)
+			l := newStreamLoad(w)
+			l.run(size.streams, 14*time.Second)
+			w.After(3*time.Second, func() { restartDataCentre(w, "b", time.Second) })
+			w.After(5*time.Second, func() { cutDataCentre(w, "c") })
+			steady := measureOrigins(w, 2*time.Second)
+			t.Logf("per gateway and second: %.1f messages, %.0f bytes; at most %d records", steady.messages, steady.bytes, steady.records)
+			w.Run(11 * time.Second)
+			l.check(t)
+		})
+	}
+}
+
+func restartDataCentre(w *controltest.World, dc fleet.DataCentreID, d time.Duration) {
+	for _, n := range w.Nodes {
+		if n.DataCentre == dc {
+			n.RestartAfter(d)
+		}
+	}
+}
+
+// cutDataCentre cuts the gateways of a data centre off from all others and from the store.
+func cutDataCentre(w *controltest.World, dc fleet.DataCentreID) {
+	inside := map[string]bool{}
+	gateways := map[string]bool{controltest.StoreName: true}
+	for _, n := range w.Nodes {
+		gateways[string(n.ID)] = true
+		inside[string(n.ID)] = n.DataCentre == dc
+	}
+	w.Partitioned = func(a, b string) bool { return gateways[a] && gateways[b] && inside[a] != inside[b] }
+}
--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -25,6 +25,8 @@
 	Reads        int  // reads of the store
 	Sent         int  // messages sent to peers, including lost ones
 	SentBytes    int
+	OriginsSent  int // messages about where streams began, sent to peers
+	OriginsBytes int
 
 	incarnation fleet.Incarnation
 	deferred    []func()
@@ -128,6 +130,10 @@
 	}
 	n.Sent++
 	n.SentBytes += len(b)
+	if action.Message.Kind() != wire.KindStatus {
+		n.OriginsSent++
+		n.OriginsBytes += len(b)
+	}
 	if w.partitioned(string(n.ID), string(action.To)) || w.rng.Float64() < w.Loss {
 		return
 	}
