A resumed stream avoids an endpoint that may have been restarted unnoticed

Cause: only failed connections made an endpoint's version uncertain; one that is avoided after failures gets no connections.

A service with one version needs no record. Result: TestResumedStreamAvoidsAnEndpointWhoseEntryMayBeOutdated, now with entries that are written 500 ms late as well, passes.

--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -27,6 +27,8 @@
 	removedAt             boottime.Instant  // when it was removed; 0: not removed
 	incarnationKnownSince boottime.Instant  // when its incarnation was first seen or presumed to start (see assumeColdStart)
 	entryNeededSince      boottime.Instant  // its entry is certain once the snapshot is confirmed as of this time, see versionCertain
+	failedAt              boottime.Instant  // last failed response of it that this process knows of; 0: none
+	aliveAt               boottime.Instant  // first response or connection after that; 0: none
 	incarnationNotBefore  boottime.Instant  // its incarnation did not start before this time; 0: not known
 	version               origin.Version    // of its software
 	listedAtStart         bool              // it was listed when this process got its first snapshot
@@ -61,7 +63,7 @@
 	if e.version != 0 && e.version != version {
 		s.noteVersionReplaced(now, e)
 	}
-	if e.version != 0 && e.Incarnation != rec.Incarnation {
+	if e.version != 0 && (e.Incarnation != rec.Incarnation || e.version != version) {
 		e.incarnationNotBefore = s.freshness.confirmedBefore.Add(-registrationDelay)
 	}
 	e.version = version
@@ -69,7 +71,7 @@
 		e.addrReused = false
 		e.announcedLeaving = false
 		e.health = health{}
-		e.entryNeededSince = 0
+		e.entryNeededSince, e.failedAt, e.aliveAt = 0, 0, 0
 		e.outlier = outlierState{}
 		e.incarnationKnownSince = now
 	}
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -99,7 +99,7 @@
 	h := &e.health
 	if ok {
 		h.failureRate *= 1 - failureResultWeight
-		h.lastSuccess = now
+		e.noteAlive(now)
 		return
 	}
 	e.outlier.recordFailure(now)
@@ -162,7 +162,7 @@
 	}
 	e.health.probing = false
 	if r == ProbeConnected {
-		e.health.lastSuccess = now
+		e.noteAlive(now)
 		s.markUp(now, e)
 		return
 	}
--- a/internal/control/origins.go
+++ b/internal/control/origins.go
@@ -24,6 +24,9 @@
 	// reconnectRegistrationDelay is how long after the first connection to an endpoint that was down its entry may
 	// still be that of the process before.
 	reconnectRegistrationDelay = time.Second
+	// failureRegistrationDelay is the same after the first response or connection since a failed response, which may
+	// have been the end of the process.
+	failureRegistrationDelay = 200 * time.Millisecond
 	// registrationDelay is how long after its start an endpoint's new incarnation may publish its entry.
 	registrationDelay = 2 * time.Second
 	// clockTolerance is how far the wall clocks of gateways and endpoints may differ.
@@ -203,12 +206,12 @@
 func (s *State) LookUpOrigin(now boottime.Instant, stream fleet.RequestID, route *routing.Route) *origin.Lookup {
 	id := origin.ID(stream)
 	services := route.Services()
-	if r, ok := s.origins.table.Get(now, id); ok {
-		return origin.Resolved(id, s.recordedVersion(r))
-	}
 	if v := s.soleVersionOf(now, services); v != 0 {
 		return origin.Resolved(id, v)
 	}
+	if r, ok := s.origins.table.Get(now, id); ok {
+		return origin.Resolved(id, s.recordedVersion(r))
+	}
 	if stream == "" {
 		return origin.Resolved(id, 0)
 	}
@@ -241,7 +244,26 @@
 
 // noteReconnected records that an endpoint that was down has accepted a connection.
 func (s *State) noteReconnected(now boottime.Instant, e *endpoint) {
-	e.entryNeededSince = now.Add(reconnectRegistrationDelay)
+	e.entryNeededSince = max(e.entryNeededSince, now.Add(reconnectRegistrationDelay))
+}
+
+// noteFailed records a failed response of an endpoint, to this process or a peer.
+func (e *endpoint) noteFailed(now boottime.Instant) {
+	e.failedAt, e.aliveAt = now, 0
+}
+
+// noteAlive records that an endpoint has responded or accepted a connection.
+func (e *endpoint) noteAlive(now boottime.Instant) {
+	e.health.lastSuccess = now
+	if e.failedAt != 0 && e.aliveAt == 0 {
+		e.aliveAt = now
+	}
+}
+
+// mayHaveRestarted reports whether an endpoint has failed and may since be another process whose entry this process
+// does not have yet.
+func (s *State) mayHaveRestarted(e *endpoint) bool {
+	return e.failedAt != 0 && (e.aliveAt == 0 || s.freshness.confirmedAt < e.aliveAt.Add(failureRegistrationDelay))
 }
 
 // recordedVersion returns the version of a record, or 0 if the endpoint may have been restarted with another
@@ -249,7 +271,7 @@
 func (s *State) recordedVersion(r origin.Record) origin.Version {
 	e := s.endpointByShortID(r.Endpoint)
 	switch {
-	case e == nil || e.Incarnation == r.Incarnation:
+	case e == nil || e.Incarnation == r.Incarnation && e.version == r.Version:
 		if r.Certain || e != nil && s.freshness.confirmedAt >= r.SentAt.Add(reconnectRegistrationDelay) {
 			return r.Version
 		}
--- a/internal/control/origins_test.go
+++ b/internal/control/origins_test.go
@@ -129,35 +129,59 @@
 	l.check(t)
 }
 
-// TestResumedStreamAvoidsAnEndpointWhoseEntryMayBeOutdated restarts an engine under its ID with another version, and writes
-// its entry 500 ms later. Streams of its former version must not be resumed there, and streams that begin there in between
-// must not be resumed at the former version.
+// restart is how long an engine is down and then without its new entry.
+type restart struct{ down, unpublished time.Duration }
+
+// TestResumedStreamAvoidsAnEndpointWhoseEntryMayBeOutdated restarts an engine each second under its ID with another version.
+// Streams of its former version must not be resumed there, and streams that begin there before its entry is written must not
+// be resumed at the former version.
 func TestResumedStreamAvoidsAnEndpointWhoseEntryMayBeOutdated(t *testing.T) {
+	for name, tc := range map[string]struct {
+		perSecond float64
+		restart   restart
+	}{
+		"many streams": {300, restart{600 * time.Millisecond, 100 * time.Millisecond}},
+		"few streams":  {40, restart{600 * time.Millisecond, 100 * time.Millisecond}},
+		"late entry":   {40, restart{600 * time.Millisecond, 500 * time.Millisecond}},
+	} {
+		t.Run(name, func(t *testing.T) { upgradeEngines(t, tc.perSecond, tc.restart) })
+	}
+}
+
+// TestResumedStreamAvoidsAnEndpointThatRestartedAtOnce does so with restarts that hardly any gateway notices.
+func TestResumedStreamAvoidsAnEndpointThatRestartedAtOnce(t *testing.T) {
+	upgradeEngines(t, 40, restart{5 * time.Millisecond, 100 * time.Millisecond})
+}
+
+func upgradeEngines(t *testing.T, perSecond float64, r restart) {
+	length := time.Duration(12000 / perSecond * float64(time.Second))
 	w := smallFleet(t)
 	for i := range 4 {
-		e := w.Endpoints[fleet.EndpointID(fmt.Sprintf("engine-%d", i+1))]
-		w.Publish(versioned(e, "v2"))
+		w.Publish(versioned(w.Endpoints[fleet.EndpointID(fmt.Sprintf("engine-%d", i+1))], "v2"))
 	}
 	w.Run(time.Second)
 	l := newStreamLoad(w)
 	l.resumeAt = func() time.Duration { return time.Duration(w.Rand().Int64N(int64(400 * time.Millisecond))) }
-	l.run(300, 40*time.Second)
-	for at, n := 5*time.Second, 0; at < 38*time.Second; at, n = at+time.Second, n+1 {
-		w.After(at-w.Elapsed(), func() {
-			e := w.Endpoints[fleet.EndpointID(fmt.Sprintf("engine-%d", n%9+1))]
-			e.Down = true
-			w.After(600*time.Millisecond, func() {
-				e.Down = false
-				e.Incarnation++
-				e.Version = []fleet.SoftwareVersion{"v2", "v3"}[n%2]
-				w.After(500*time.Millisecond, func() { w.Publish(e) })
-			})
-		})
+	l.run(perSecond, length)
+	for at, n := 5*time.Second, 0; at < length; at, n = at+time.Second, n+1 {
+		w.After(at-w.Elapsed(), func() { upgradeEngine(w, n, r) })
 	}
-	w.Run(45 * time.Second)
+	w.Run(length)
 	l.check(t)
 }
 
+// upgradeEngine restarts the n-th engine under its ID with another version.
+func upgradeEngine(w *controltest.World, n int, r restart) {
+	e := w.Endpoints[fleet.EndpointID(fmt.Sprintf("engine-%d", n%9+1))]
+	e.Crash()
+	w.After(r.down, func() {
+		e.Down = false
+		e.Incarnation++
+		e.Version = []fleet.SoftwareVersion{"v2", "v3"}[n/9%2]
+		w.After(r.unpublished, func() { w.Publish(e) })
+	})
+}
+
 // originTraffic is the traffic of messages about where streams began, per gateway and second, and what gateways hold.
 type originTraffic struct {
 	messages, bytes float64
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -63,6 +63,11 @@
 // Place chooses an endpoint for a request and counts the attempt there until AttemptEnded.
 func (s *State) Place(now boottime.Instant, req PlacementRequest) Placement {
 	c := s.classify(now, req)
+	for _, e := range c.uncertain {
+		if e.aliveAt == 0 && !e.health.probing && !e.health.down {
+			s.probe(e)
+		}
+	}
 	if len(c.eligible) == 0 {
 		p := c.rejection()
 		if req.Version != 0 && !s.offersVersion(now, req.Service, req.Version) {
@@ -93,6 +98,7 @@
 	listedCount  int                // listed endpoints of the service, in any state
 	listedLoad   int                // sum of the loads of the listed endpoints
 	down         []*endpoint        // usable and not tried, but down
+	uncertain    []*endpoint        // may have another version than the one the request needs
 	triedCount   int                // usable endpoints that already had an attempt
 	pause        time.Duration      // until the first of those that want no requests for a time wants some; 0: there is none
 }
@@ -157,7 +163,9 @@
 		}
 		switch {
 		case !s.usable(now, e):
-		case req.Version != 0 && (e.version != req.Version || !s.versionCertain(e)):
+		case req.Version != 0 && e.version != req.Version:
+		case req.Version != 0 && (!s.versionCertain(e) || s.mayHaveRestarted(e)):
+			c.uncertain = append(c.uncertain, e)
 		case now.Before(e.noRequestsUntil):
 			c.pause = shorter(c.pause, e.noRequestsUntil.Sub(now))
 		case slices.Contains(req.Tried, e.ID):
--- a/internal/control/result.go
+++ b/internal/control/result.go
@@ -64,6 +64,9 @@
 		s.recordResult(now, e, true)
 		s.markUp(now, e)
 	case EndpointFailed, ResponseBroken, ResponseOverdue:
+		if r == ResponseBroken {
+			e.noteFailed(now)
+		}
 		s.recordResult(now, e, false)
 	case ConnectionRefused, ConnectTimedOut:
 		s.markDown(now, e, r == ConnectTimedOut, true)
@@ -76,7 +79,7 @@
 
 // ResponseStarted records that the endpoint has begun to respond.
 func (s *State) ResponseStarted(now boottime.Instant, a *Attempt) {
-	a.endpoint.health.lastSuccess = now
+	a.endpoint.noteAlive(now)
 }
 
 // ReportCold records the remaining cold-start time that an endpoint reported.
--- a/internal/controltest/request.go
+++ b/internal/controltest/request.go
@@ -21,6 +21,17 @@
 	Arrivals    []boottime.Instant
 
 	slotFreeAt []boottime.Instant // when each slot becomes free
+	onCrash    []func()           // break the streams that run
+}
+
+// Crash ends the endpoint's process: its streams break, and it refuses connections.
+func (e *Endpoint) Crash() {
+	e.Down = true
+	breakStreams := e.onCrash
+	e.onCrash = nil
+	for _, f := range breakStreams {
+		f()
+	}
 }
 
 // Request is a request of a caller.
--- a/internal/controltest/stream.go
+++ b/internal/controltest/stream.go
@@ -77,29 +77,44 @@
 			n.endAttempt(process, p.Attempt, control.ConnectionRefused, func() { n.placeStream(req, st, done) })
 			return
 		}
-		version, engineProcess := e.Version, e.Incarnation
-		w.After(firstEventDelay, func() {
-			if n.incarnation != process {
-				return
-			}
-			if e.Down || e.Incarnation != engineProcess {
-				n.endAttempt(process, p.Attempt, control.ResponseBroken, func() { n.placeStream(req, st, done) })
-				return
-			}
-			n.run(func() {
-				n.State.StreamStarted(w.Now(), st.ID, p.Attempt, streamTimeout-(w.Elapsed()-st.StartAt))
-				st.Versions[version] = true
-				done(true, control.ReasonNone)
-			})
-			w.After(e.ServiceTime, func() {
-				result := control.ResponseComplete
-				if e.Down || e.Incarnation != engineProcess {
-					result = control.ResponseBroken
+		n.runStream(e, p.Attempt, req, st, done)
+	})
+}
+
+// runStream simulates a stream at an endpoint: its first event, and its end or the crash of the endpoint.
+func (n *Node) runStream(e *Endpoint, a *control.Attempt, req control.PlacementRequest, st *Stream, done func(bool, control.Reason)) {
+	w, process, version := n.World, n.incarnation, e.Version
+	ended, begun := false, false
+	e.onCrash = append(e.onCrash, func() {
+		if ended {
+			return
+		}
+		ended = true
+		w.After(networkDelay, func() {
+			n.endAttempt(process, a, control.ResponseBroken, func() {
+				if !begun {
+					n.placeStream(req, st, done)
 				}
-				n.endAttempt(process, p.Attempt, result, func() {})
 			})
 		})
 	})
+	w.After(firstEventDelay, func() {
+		if n.incarnation != process || ended {
+			return
+		}
+		begun = true
+		n.run(func() {
+			n.State.StreamStarted(w.Now(), st.ID, a, streamTimeout-(w.Elapsed()-st.StartAt))
+			st.Versions[version] = true
+			done(true, control.ReasonNone)
+		})
+		w.After(e.ServiceTime, func() {
+			if !ended {
+				ended = true
+				n.endAttempt(process, a, control.ResponseComplete, func() {})
+			}
+		})
+	})
 }
 
 func (n *Node) endAttempt(process fleet.Incarnation, a *control.Attempt, r control.AttemptResult, then func()) {
