upstream: a stalled body ends its attempt after the progress timeout

Change: ProgressTimeout between two reads of a body; for a request that cannot be retried, only the deadline. Result: TestStalledBody passes.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -57,13 +57,18 @@
 	return a.handleResponse(ctx, resp)
 }
 
-// firstProgressTimeout returns the time until the deadline for a non-idempotent service request, which cannot be
-// retried, and the configured timeout otherwise.
+// firstProgressTimeout returns how long the attempt waits for the response to begin.
 func (a *attempt) firstProgressTimeout() time.Duration {
-	if a.request.Idempotent || a.dispatch.Kind == fleet.Engine || a.dispatch.Deadline.IsZero() {
-		return a.client.cfg.FirstProgressTimeout
+	if a.untilDeadline() {
+		return max(time.Until(a.dispatch.Deadline), 0)
 	}
-	return max(time.Until(a.dispatch.Deadline), 0)
+	return a.client.cfg.FirstProgressTimeout
+}
+
+// untilDeadline reports whether only the deadline ends an attempt without progress: that of a non-idempotent service
+// request, which cannot be retried.
+func (a *attempt) untilDeadline() bool {
+	return !a.request.Idempotent && a.dispatch.Kind != fleet.Engine && !a.dispatch.Deadline.IsZero()
 }
 
 func (a *attempt) handleResponse(ctx context.Context, resp *http.Response) core.Event {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -24,8 +24,8 @@
 type Config struct {
 	Dial                 DialFunc      // nil means TCP
 	ConnectTimeout       time.Duration // to establish a connection
-	FirstProgressTimeout time.Duration // until the response header or the first event of a stream; also for each read of a body
-	ProgressTimeout      time.Duration // between two events of a stream
+	FirstProgressTimeout time.Duration // until the response header or the first event of a stream
+	ProgressTimeout      time.Duration // between two events of a stream, or two reads of a body
 	PollTimeout          time.Duration // of a load poll
 	CancelTimeout        time.Duration // of a request to cancel a stream
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -43,8 +44,9 @@
 	var stored []byte
 	store := a.dispatch.KeepResponse
 	buf := make([]byte, copyBufferBytes)
+	timeout := a.bodyProgressTimeout()
 	for {
-		a.watchdog.restart(a.watchdog.period)
+		a.watchdog.restart(timeout)
 		n, err := resp.Body.Read(buf)
 		a.watchdog.pause()
 		if store = store && len(stored)+n <= maxStoredBodyBytes; store {
@@ -62,6 +64,15 @@
 	}
 }
 
+// bodyProgressTimeout returns the time without a byte of the body after which the attempt ends: for a request that cannot
+// be retried, the time until its deadline.
+func (a *attempt) bodyProgressTimeout() time.Duration {
+	if a.untilDeadline() {
+		return a.firstProgressTimeout()
+	}
+	return a.client.cfg.ProgressTimeout
+}
+
 func (a *attempt) forwardChunk(p []byte) error {
 	if len(p) == 0 {
 		return nil
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -131,3 +131,30 @@
 		}
 	})
 }
+
+// TestStalledBody checks that the body of a response that may be retried ends the attempt after the progress timeout
+// without a byte, and that of any other only at the deadline.
+func TestStalledBody(t *testing.T) {
+	for name, tc := range map[string]struct {
+		idempotent bool
+		after      time.Duration
+	}{"idempotent": {true, 2 * time.Second}, "non-idempotent": {false, 9 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			stop := make(chan struct{})
+			s := &fakeServer{serve: func(c net.Conn) {
+				respondWith("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")(c)
+				<-stop
+			}}
+			d, rq := serviceDispatch, *serviceCall
+			d.Deadline, rq.Idempotent = time.Now().Add(9*time.Second), tc.idempotent
+			start := time.Now()
+			ev := run(s.client(t), d, &rq, &recordingSink{})
+			took := time.Since(start)
+			close(stop)
+			want := core.AttemptLost{ID: "request", Attempt: 1, Cause: core.CauseNoProgress}
+			if lost, ok := ev.(core.AttemptLost); !ok || lost.Cause != want.Cause || took != tc.after {
+				t.Errorf("%s: %+v after %v, want %+v after %v", name, ev, took, want, tc.after)
+			}
+		})
+	}
+}
