Resumed streams go on at young gateways while there has been one version

Cause: a young process counted a service as having one version only if its endpoints had started long before, also at the first start of the fleet; and a stream without a name was refused without asking peers. Change: at the first start of the fleet (the settings say so) no stream began before; peers are asked in any case, since one may know that there has been only one version. Result: TestStreamsOfOneVersionGoOnWithoutRecord, which failed before.

--- a/internal/control/origins.go
+++ b/internal/control/origins.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// LookUpOrigin starts to find out at which version a stream began that a caller resumes on a route. The result is
-// known once the lookup is done.
+// LookUpOrigin starts to find out at which version a stream began that a caller resumes on a route, or any stream of the
+// route if the caller names none. The result is known once the lookup is done.
 func (s *State) LookUpOrigin(now boottime.Instant, stream fleet.RequestID, route *routing.Route) *origin.Lookup {
 	id := origin.ID(stream)
 	services := route.Services()
@@ -125,9 +125,6 @@
 	if r, ok := s.origins.table.Get(now, id); ok {
 		return origin.Resolved(id, s.recordedVersion(r))
 	}
-	if stream == "" {
-		return origin.Resolved(id, 0)
-	}
 	return s.askPeers(now, id, services)
 }
 
--- a/internal/control/origins_test.go
+++ b/internal/control/origins_test.go
@@ -257,3 +257,33 @@
 	}
 	w.Partitioned = func(a, b string) bool { return gateways[a] && gateways[b] && inside[a] != inside[b] }
 }
+
+// TestStreamsOfOneVersionGoOnWithoutRecord guards against refusing resumed streams, whose callers may not name the request that
+// began them, at gateways that have just started, while all endpoints have had one version.
+func TestStreamsOfOneVersionGoOnWithoutRecord(t *testing.T) {
+	w := smallFleet(t, func(w *controltest.World) {
+		w.Options = func(o *control.Options) { o.FirstStart = true }
+		for _, n := range w.Nodes {
+			n.Start()
+		}
+	})
+	w.Options = nil
+	restarted := w.Nodes[0]
+	restarted.RestartAfter(time.Second)
+	w.Run(3 * time.Second)
+	for _, n := range []*controltest.Node{restarted, w.Nodes[1]} {
+		for _, named := range []bool{true, false} {
+			st := w.NewStream("")
+			if named {
+				st.ID = "a stream that no gateway has a record of"
+			}
+			st.Versions[""] = true
+			ended, wentOn, reason := false, false, control.ReasonNone
+			n.OpenStream(chatRequest, st, func(ok bool, r control.Reason) { ended, wentOn, reason = true, ok, r })
+			w.Run(time.Second)
+			if !ended || !wentOn {
+				t.Errorf("%s, stream named: %t: %s", n.ID, named, reason)
+			}
+		}
+	}
+}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -21,6 +21,7 @@
 	SeedCount  int    // number of control addresses of other gateways in the settings
 	Protocol   published.Protocol
 	StartedAt  time.Time // of the process, on its wall clock; zero: not known
+	FirstStart bool      // the whole fleet starts for the first time, so that no stream began before
 
 	StrictRevoke         bool          // reject API keys if the snapshot is older than AuthStalenessBound
 	AuthStalenessBound   time.Duration // snapshot age up to which API keys are accepted with StrictRevoke
@@ -87,10 +88,11 @@
 	}
 }
 
-// Configure replaces the options that may change at run time: all but Self, RandomSeed, Protocol and StartedAt.
+// Configure replaces the options that may change at run time: all but Self, RandomSeed, Protocol, StartedAt and FirstStart.
 // The retry windows of services that have already received requests keep their length.
 func (s *State) Configure(o Options) {
-	o.Self, o.RandomSeed, o.Protocol, o.StartedAt = s.opts.Self, s.opts.RandomSeed, s.opts.Protocol, s.opts.StartedAt
+	o.Self, o.RandomSeed, o.Protocol = s.opts.Self, s.opts.RandomSeed, s.opts.Protocol
+	o.StartedAt, o.FirstStart = s.opts.StartedAt, s.opts.FirstStart
 	s.opts = o
 }
 
--- a/internal/control/version.go
+++ b/internal/control/version.go
@@ -57,7 +57,7 @@
 	if s.SnapshotAge(now) > soleVersionStaleness {
 		return 0
 	}
-	young := now.Sub(s.join.processStart) < s.origins.streamLifetime
+	young := !s.opts.FirstStart && now.Sub(s.join.processStart) < s.origins.streamLifetime
 	var present []origin.Version
 	for _, e := range s.services[service] {
 		if !e.listed && e.graceUntil == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 	p.seeds.Store(newSeedClient(settings))
 	randomSeed := newRandomSeed()
 	options := settings.controlOptions(randomSeed, o.Protocol)
-	options.StartedAt = time.Now()
+	options.StartedAt, options.FirstStart = time.Now(), settings.FirstStart
 	p.loop = newLoop(control.New(boottime.Now(), options), p.execute)
 	p.callerHandler = ingress.New(p.loop, o.HeaderCodec, p.client, ingress.NewMeter(p.metrics.Scope()))
 	if err := p.listenPeers(randomSeed); err != nil {
@@ -117,7 +117,7 @@
 
 func (p *process) run(ctx context.Context) error {
 	s := &p.settings
-	event.LogFields(event.ProcessStarted, "instance", s.Instance, "data_centre", s.DataCentre, "callers", s.Listen.Callers, "peers", s.Peers.Addr)
+	event.LogFields(event.ProcessStarted, "instance", s.Instance, "data_centre", s.DataCentre, "callers", s.Listen.Callers, "peers", s.Peers.Addr, "first_start", s.FirstStart)
 	p.wg.Go(func() { p.loop.run(p.ctx) })
 	p.wg.Go(func() { p.peers.Serve(p.ctx, p.handleMessage, recordReceiveError) })
 	p.wg.Go(p.readStore)
