A stream of a service with one version goes on at endpoints that failed

Seen while reading the change: also in a service with one version, a stream was given up if its endpoint or all others had just failed or returned, since they might have been restarted with another version. Change: while a service has one version, endpoints that may have been restarted are only avoided, and a stream's record counts as it is. Headers of a resumed stream have no effect on routes that don't stream.

--- a/internal/control/origins_test.go
+++ b/internal/control/origins_test.go
@@ -8,6 +8,7 @@
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/controltest"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/origin"
 	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
 )
 
@@ -287,3 +288,33 @@
 		}
 	}
 }
+
+// TestStreamOfOneVersionGoesOnAtEndpointsThatFailed guards against giving up streams because endpoints have failed, while all
+// endpoints have had one version.
+func TestStreamOfOneVersionGoesOnAtEndpointsThatFailed(t *testing.T) {
+	w := smallFleet(t, func(w *controltest.World) {
+		w.Options = func(o *control.Options) { o.FirstStart = true }
+		for _, n := range w.Nodes {
+			n.Start()
+		}
+	})
+	n := w.Nodes[0]
+	place := func(v origin.Version) *control.Attempt {
+		p := n.State.Place(w.Now(), control.PlacementRequest{Service: llm, Version: v})
+		if p.Attempt == nil {
+			t.Fatalf("version %d: %s", v, p.Reason)
+		}
+		return p.Attempt
+	}
+	stream := place(0)
+	n.State.StreamStarted(w.Now(), "stream", stream, time.Minute)
+	n.State.AttemptEnded(w.Now(), stream, control.ResponseBroken)
+	for range 200 {
+		n.State.AttemptEnded(w.Now(), place(0), control.ResponseBroken)
+	}
+	v := n.State.StreamVersion(w.Now(), "stream")
+	if v == 0 {
+		t.Fatal("the stream's version is not known")
+	}
+	place(v)
+}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -151,10 +151,12 @@
 }
 
 // classify classifies the endpoints of a service for one request. Endpoints that are avoided for recent
-// failures or refusals are eligible only if there are no others.
+// failures or refusals are eligible only if there are no others. The same holds, for a request that needs a version, for
+// those that may have been restarted, if the service has one version; otherwise they are not eligible.
 func (s *State) classify(now boottime.Instant, req PlacementRequest) endpointClasses {
 	var c endpointClasses
 	var avoided []eligibleEndpoint
+	oneVersion := req.Version != 0 && s.soleVersion(now, req.Service) == req.Version
 	for _, e := range s.services[req.Service] {
 		load := s.load(now, e)
 		if e.listed {
@@ -164,8 +166,6 @@
 		switch {
 		case !s.usable(now, e):
 		case req.Version != 0 && e.version != req.Version:
-		case req.Version != 0 && (!s.versionCertain(e) || s.mayHaveRestarted(e)):
-			c.uncertain = append(c.uncertain, e)
 		case now.Before(e.noRequestsUntil):
 			c.pause = shorter(c.pause, e.noRequestsUntil.Sub(now))
 		case slices.Contains(req.Tried, e.ID):
@@ -173,6 +173,12 @@
 		case e.health.down:
 			c.down = append(c.down, e)
 		case !s.admitsColdSend(now, e):
+		case req.Version != 0 && (!s.versionCertain(e) || s.mayHaveRestarted(e)):
+			if oneVersion {
+				avoided = append(avoided, eligibleEndpoint{e, load})
+			} else {
+				c.uncertain = append(c.uncertain, e)
+			}
 		case now.Before(e.health.avoidUntil):
 			avoided = append(avoided, eligibleEndpoint{e, load})
 		default:
--- a/internal/control/version.go
+++ b/internal/control/version.go
@@ -150,10 +150,14 @@
 // is not certain.
 func (s *State) StreamVersion(now boottime.Instant, stream fleet.RequestID) origin.Version {
 	r, ok := s.origins.table.Get(now, origin.ID(stream))
-	if !ok {
+	switch {
+	case !ok:
 		return 0
+	case s.soleVersion(now, r.Service) == r.Version:
+		return r.Version
+	default:
+		return s.recordedVersion(r)
 	}
-	return s.recordedVersion(r)
 }
 
 // offersVersion reports whether an endpoint of a version may get new requests for a service.
--- a/internal/ingress/origin.go
+++ b/internal/ingress/origin.go
@@ -9,6 +9,7 @@
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/origin"
+	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
 
 const (
@@ -29,7 +30,7 @@
 // rejected the request because the version is not known. For other requests it does nothing.
 func (c *call) findOrigin(ctx context.Context) bool {
 	c.origin.stream = c.meta.ID
-	if c.meta.LastEventID == "" && c.meta.Resumes == "" {
+	if c.admission.Route.Kind != routing.Streaming || c.meta.LastEventID == "" && c.meta.Resumes == "" {
 		return true
 	}
 	if c.meta.Resumes != "" {
