--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -1,9 +1,9 @@
 // Package origin keeps where streams began: at which version of the endpoints' software. A stream may be resumed
 // only at the version that began it, and callers resume streams at any gateway.
 //
-// Three sources tell a gateway where a stream began, in this order: its own table of records, which the gateways that
-// began streams replicate; the records of other gateways, which it asks; and the history of the versions of a
-// service, if there has been only one. Without any of them the origin is unknown.
+// Three sources tell a gateway where a stream began, in this order: the history of the versions of a service, if there
+// has been only one for as long as a stream may last; its own table of records; and the gateways to which the one
+// that began the stream has replicated its record. Without any of them the origin is unknown.
 //
 // The package does no I/O and reads no clock. Its types are not safe for concurrent use.
 package origin
