--- a/internal/control/origins_test.go
+++ b/internal/control/origins_test.go
@@ -141,9 +141,10 @@
 		perSecond float64
 		restart   restart
 	}{
-		"many streams": {300, restart{600 * time.Millisecond, 100 * time.Millisecond}},
-		"few streams":  {40, restart{600 * time.Millisecond, 100 * time.Millisecond}},
-		"late entry":   {40, restart{600 * time.Millisecond, 500 * time.Millisecond}},
+		"many streams":             {300, restart{600 * time.Millisecond, 100 * time.Millisecond}},
+		"few streams":              {40, restart{600 * time.Millisecond, 100 * time.Millisecond}},
+		"late entry":               {40, restart{600 * time.Millisecond, 500 * time.Millisecond}},
+		"late entry, many streams": {300, restart{600 * time.Millisecond, 500 * time.Millisecond}},
 	} {
 		t.Run(name, func(t *testing.T) { upgradeEngines(t, tc.perSecond, tc.restart) })
 	}
