ingress: the read deadline of a body is not set without a body

Callers of requests without a body could find their connection closed without an answer when their deadline passed while the process was busy, for example while it adopted a configuration: net/http reads ahead on such a connection, the deadline that we set for the body ended this read, and net/http reported the caller's leaving (caller_left).

Cause: readBody set the connection's read deadline also for requests without a body. With a body, net/http removes the deadline itself before it reads ahead.

Evidence: TestReadDeadlineOfTheBodyIsNotTheCallersLeaving, in which the process is held up before it removes the deadline. On the code before, its four cases without a body print "status 0, EOF, want 504". The cases with a body passed before, too.

A request whose deadline has passed gets a 504 now.

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -128,6 +128,10 @@
 		c.reject(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
 		return false
 	}
+	if c.r.Body == http.NoBody {
+		return true
+	}
+	// It must not be set without a body: net/http reads ahead then, and takes a failed read for the caller's leaving.
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
