ingress: a deadline during connecting is no timeout of the endpoint

Callers of streams lost their connection in mid-stream although their endpoint was sound. The deadline of another request had passed before its connection to the same endpoint was established. The gateway then took the endpoint for unreachable: it cancelled all attempts there that had been silent for 350 ms, sent it no further requests until a probe, and reported it to its peers.

Cause: a dial with an expired context fails with a timeout, and attempt.classify asked for a timeout of the connection before it asked whether the attempt's context had ended. Requests that were placed late, or whose route had got a shorter timeout, marked one sound endpoint after the other so.

The connection timeout itself (150 ms) does not end the context, so that an endpoint that gives no reply still counts as unreachable.

A request whose deadline has passed is also no longer placed: each such placement counted as load of an endpoint.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -70,10 +70,10 @@
 		return control.ConnectTimedOut
 	case errors.Is(cause, errResponseOverdue):
 		return control.ResponseOverdue
+	case cause != nil: // its deadline makes a connection attempt look timed out
+		return control.Cancelled
 	case connectFailed && exchangeErr.Timeout():
 		return control.ConnectTimedOut
-	case cause != nil:
-		return control.Cancelled
 	case connectFailed:
 		return control.ConnectionRefused
 	default:
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -61,7 +61,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
-	if !c.findOrigin(ctx) {
+	if !c.findOrigin(ctx) || c.endIfDone(ctx) {
 		return
 	}
 	c.run(ctx)
