ingress: an attempt is given up only with the next one reserved

Callers saw streams cut in the middle, and 502 for idempotent requests, although their endpoint was sound and had only been silent for a second or so.

Cause: the watchdog asked whether a retry would be possible, cancelled the attempt, and only then was the retry taken from the budget and placed. Of many attempts that became overdue in the same instant all were told yes; the first ones used up the budget or the endpoints, and the others ended without a response. An attempt whose endpoint was unreachable was cancelled without the question, and the question did not consider the limit of attempts in total.

The watchdog now asks control.State.GiveUp, which reserves the retry (budget, placement, version of the stream) in one call on the control state, and cancels the attempt only with the reservation in hand. A reservation that is not used, because the response ended first or the caller left, is returned. An event that arrives after the reservation is not forwarded, since the next attempt sends it as well. The attempt before is still closed first: two runs of one request at the same time are not allowed to go on from its memory.

--- a/internal/control/budget.go
+++ b/internal/control/budget.go
@@ -46,17 +46,6 @@
 	return s.retryWindow(service).AllowRetry(now, ratio, extra)
 }
 
-// CanRetry reports whether a request could be sent to another endpoint now: one is eligible, and the retry budget
-// allows it. It counts no retry.
-func (s *State) CanRetry(now boottime.Instant, req PlacementRequest) bool {
-	c := s.classify(now, req)
-	if len(c.eligible) == 0 {
-		return false
-	}
-	ratio, extra := s.localRetryBudget()
-	return s.retryWindow(req.Service).WouldAllowRetry(now, ratio, extra)
-}
-
 // localRetryBudget returns the budget of this process: the ratio of retries to requests, and
 // its part of the fleet's constant allowance beyond that ratio.
 func (s *State) localRetryBudget() (ratio, extra float64) {
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -138,12 +138,6 @@
 	s.probe(a.endpoint)
 }
 
-// Unreachable reports whether the last connection to the endpoint of an attempt timed out.
-func (s *State) Unreachable(a *Attempt) bool {
-	h := &a.endpoint.health
-	return h.down && h.timedOut
-}
-
 // ProbeResult is the result of a connection attempt requested by ProbeEndpoint.
 type ProbeResult uint8
 
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -42,9 +42,6 @@
 	endpointUnreachable chan struct{}
 }
 
-// StreamVersion returns the version at which a stream goes on that the endpoint of the attempt has sent events of.
-func (a *Attempt) StreamVersion() origin.Version { return a.version }
-
 // Placement is the result of Place: an attempt, or the reason why there is none.
 type Placement struct {
 	Reason     Reason
@@ -58,10 +55,23 @@
 	Affinity uint64             // hash of the prompt's shared prefix; 0: none
 	Tried    []fleet.EndpointID // endpoints that already had an attempt; they are not eligible
 	Version  origin.Version     // the only version at which the request may run; 0: any
+	Stream   fleet.RequestID    // if set, the request goes on with this stream, of which this process has forwarded events
+}
+
+// atStreamVersion sets the version of a request that goes on with a stream. It is 0 if that version is not certain.
+func (s *State) atStreamVersion(now boottime.Instant, req PlacementRequest) PlacementRequest {
+	if req.Stream != "" {
+		req.Version = s.StreamVersion(now, req.Stream)
+	}
+	return req
 }
 
 // Place chooses an endpoint for a request and counts the attempt there until AttemptEnded.
 func (s *State) Place(now boottime.Instant, req PlacementRequest) Placement {
+	req = s.atStreamVersion(now, req)
+	if req.Stream != "" && req.Version == 0 {
+		return Placement{Reason: ReasonOriginUnknown}
+	}
 	c := s.classify(now, req)
 	for _, e := range c.uncertain {
 		if e.aliveAt == 0 && !e.health.probing && !e.health.down {
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -112,7 +112,10 @@
 			a.err = err
 			return false
 		}
-		a.watchdog.progress(a.admission.Route.GoalEventGap)
+		if !a.watchdog.progress(a.admission.Route.GoalEventGap) {
+			a.err = errGivenUp
+			return false
+		}
 		if !a.forwardEvent(resp, &ev, n) {
 			return false
 		}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -21,13 +21,17 @@
 	event.LogFields(event.AttemptPlaced, "request", c.meta.ID, "endpoint", placed.Endpoint, "version", placed.Version, "addr", placed.Addr, "load", placed.Load, "mean", placed.MeanLoad, "of", placed.EligibleCount, "fetch_at", placed.CacheSourceAddr)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a.watchdog = newWatchdog(a, cancel)
-	defer a.watchdog.stop()
-	d := a.run(ctx)
+	d := a.runWatched(ctx, cancel)
 	a.end(ctx, d)
 	return d
 }
 
+func (a *attempt) runWatched(ctx context.Context, cancel context.CancelCauseFunc) delivery {
+	a.watchdog = newWatchdog(a, cancel)
+	defer func() { a.reserved = a.watchdog.stop() }()
+	return a.run(ctx)
+}
+
 // attempt is one attempt to run a request at an endpoint.
 type attempt struct {
 	*call
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -40,6 +40,7 @@
 	origin         streamOrigin
 	triedEndpoints []fleet.EndpointID
 	attempts       attemptHistory
+	reserved       *control.Reservation // of the next attempt, made while the last one ran; nil: none
 	response       callerResponse
 }
 
@@ -151,12 +152,9 @@
 // run sends the request to one endpoint after another until the response is complete or no
 // further attempt is allowed.
 func (c *call) run(ctx context.Context) {
-	for {
-		p := c.place()
-		if p.Reason != control.ReasonNone {
-			c.endAttempts(p.Reason, p.RetryAfter)
-			return
-		}
+	defer c.releaseReserved()
+	p := c.place()
+	for p.Reason == control.ReasonNone {
 		d := c.runAttempt(ctx, p.Attempt)
 		c.attempts.add(d)
 		if d.complete {
@@ -166,11 +164,9 @@
 		if c.endIfDone(ctx) {
 			return
 		}
-		if reason := c.reserveRetry(); reason != control.ReasonNone {
-			c.endAttempts(reason, c.retryAfter())
-			return
-		}
+		p = c.placeRetry()
 	}
+	c.endAttempts(p.Reason, p.RetryAfter)
 }
 
 // endIfDone ends the request if the caller has disconnected or the deadline has passed, and
@@ -188,6 +184,29 @@
 	return true
 }
 
+// placeRetry places the attempt after one without a complete response: the reserved one, or a new one if the route
+// and the retry budget allow it.
+func (c *call) placeRetry() control.Placement {
+	p := control.Placement{}
+	if c.reserved != nil {
+		p.Attempt, c.reserved = c.reserved.Attempt, nil
+	} else if reason := c.reserveRetry(); reason != control.ReasonNone {
+		return control.Placement{Reason: reason, RetryAfter: c.retryAfter()}
+	}
+	event.LogFields(event.AttemptRetried, "request", c.meta.ID, "sends", c.attempts.count, "may_have_run", c.attempts.mayHaveRunCount, "left_ms", time.Until(c.deadline).Milliseconds())
+	if p.Attempt == nil {
+		p = c.place()
+	}
+	return p
+}
+
+// releaseReserved returns a reservation that the request has not used.
+func (c *call) releaseReserved() {
+	if c.reserved != nil {
+		c.s.control.Do(func(st *control.State, now boottime.Instant) { st.ReleaseRetry(now, c.reserved) })
+	}
+}
+
 // reserveRetry takes a retry from the service's retry budget and returns ReasonNone, or the
 // reason that rules out another attempt. A retry needs no budget if no byte of the last attempt
 // can have reached an endpoint.
@@ -204,7 +223,6 @@
 	if !allowed {
 		return control.ReasonRetryBudget
 	}
-	event.LogFields(event.AttemptRetried, "request", c.meta.ID, "sends", c.attempts.count, "may_have_run", c.attempts.mayHaveRunCount, "left_ms", time.Until(c.deadline).Milliseconds())
 	return control.ReasonNone
 }
 
@@ -212,18 +230,20 @@
 	// The result if the event loop has ended.
 	p := control.Placement{Reason: control.ReasonNoEndpoint, RetryAfter: endedRetryAfter}
 	c.s.control.Do(func(st *control.State, now boottime.Instant) {
-		if c.response.events > 0 {
-			c.origin.version = st.StreamVersion(now, c.origin.stream)
-			if c.origin.version == 0 {
-				p = control.Placement{Reason: control.ReasonOriginUnknown}
-				return
-			}
-		}
-		p = st.Place(now, control.PlacementRequest{Service: c.admission.Service, Affinity: c.affinityKey, Tried: c.triedEndpoints, Version: c.origin.version})
+		p = st.Place(now, c.placementRequest(c.response.events > 0))
 	})
 	return p
 }
 
+// placementRequest returns the request of the next attempt. begun says that events were forwarded to the caller.
+func (c *call) placementRequest(begun bool) control.PlacementRequest {
+	req := control.PlacementRequest{Service: c.admission.Service, Affinity: c.affinityKey, Tried: c.triedEndpoints, Version: c.origin.version}
+	if begun {
+		req.Stream = c.origin.stream
+	}
+	return req
+}
+
 // retryAfter returns the retry-after of a request that endpoints have refused.
 func (c *call) retryAfter() time.Duration {
 	after := jitteredRetryAfter()
--- a/internal/ingress/fake_test.go
+++ b/internal/ingress/fake_test.go
@@ -93,6 +93,7 @@
 	url              string
 	server           *Server
 	control          *lockedControl
+	store            *publishedtest.Store
 	mu               sync.Mutex
 	requests         []*http.Request
 	bodies           []string
@@ -103,29 +104,29 @@
 // startTestServer runs a server with endpoints that share a responder: one of each of the software versions
 // given, or three of one version.
 func startTestServer(t *testing.T, respond responder, versions ...fleet.SoftwareVersion) *testServer {
+	return startTestServerWith(t, control.Options{RetryRatio: 1, RetryExtra: 100}, respond, versions...)
+}
+
+// startTestServerWith is startTestServer with the retry budget of opts.
+func startTestServerWith(t *testing.T, opts control.Options, respond responder, versions ...fleet.SoftwareVersion) *testServer {
 	if len(versions) == 0 {
 		versions = []fleet.SoftwareVersion{"v1", "v1", "v1"}
 	}
 	ts := &testServer{t: t, versions: map[string]fleet.SoftwareVersion{}}
-	store := publishedtest.NewStore()
-	store.Write(publishedtest.Config(testConfig()))
+	ts.store = publishedtest.NewStore()
+	ts.store.Write(publishedtest.Config(testConfig()))
 	for i, version := range versions {
-		id := fmt.Sprintf("e%d", i)
-		addr := ts.startEndpoint(id, respond)
-		ts.versions[id] = version
-		store.Write(publishedtest.Endpoint(fleet.Endpoint{ID: fleet.EndpointID(id), Addr: addr, Service: "s", Version: version}, 0))
+		ts.addEndpoint(fmt.Sprintf("e%d", i), version, respond)
 	}
 	st := control.New(boottime.Now(), control.Options{
 		Self: mesh.Member{ID: "a-1", DataCentre: "a"}, Protocol: publishedtest.Protocol{}, AuthStalenessBound: time.Hour, DenialStalenessBound: time.Hour,
-		LoadMultiple: 2, RetryRatio: 1, RetryExtra: 100, RetryWindow: 10 * time.Second,
+		LoadMultiple: 2, RetryRatio: opts.RetryRatio, RetryExtra: opts.RetryExtra, RetryWindow: 10 * time.Second,
 	})
 	st.Tick(boottime.Now())
-	u := store.Update(true, 0)
-	u.Confirmed = boottime.Now()
-	st.ReadDone(boottime.Now(), u)
+	ts.control = &lockedControl{s: st}
+	ts.readStore()
 	reg := metrics.New()
 	t.Cleanup(func() { _ = reg.Close() })
-	ts.control = &lockedControl{s: st}
 	ts.server = New(ts.control, testHeaderCodec{}, exchange.NewClient(time.Second), NewMeter(reg.Scope()))
 	srv := httptest.NewUnstartedServer(ts.server)
 	srv.Config.ConnState = ts.server.TrackConn
@@ -135,6 +136,20 @@
 	return ts
 }
 
+// readStore makes the control state read the store's content.
+func (ts *testServer) readStore() {
+	u := ts.store.Update(true, 0)
+	u.Confirmed = boottime.Now()
+	ts.control.Do(func(s *control.State, now boottime.Instant) { s.ReadDone(now, u) })
+}
+
+// addEndpoint starts a scripted endpoint of service "s" and writes its entry to the store.
+func (ts *testServer) addEndpoint(id string, version fleet.SoftwareVersion, respond responder) {
+	addr := ts.startEndpoint(id, respond)
+	ts.versions[id] = version
+	ts.store.Write(publishedtest.Endpoint(fleet.Endpoint{ID: fleet.EndpointID(id), Addr: addr, Service: "s", Version: version}, 0))
+}
+
 func testConfig() *routing.Config {
 	route := func(name string, kind routing.Kind, attempts int) routing.Route {
 		return routing.Route{
--- a/internal/ingress/watch.go
+++ b/internal/ingress/watch.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +15,7 @@
 var (
 	errEndpointUnreachable = errors.New("the endpoint became unreachable")
 	errResponseOverdue     = errors.New("the response made no progress within the hang timeout")
+	errGivenUp             = errors.New("an event arrived after the attempt had been given up")
 )
 
 const (
@@ -31,115 +32,131 @@
 	// hangEventGapFactor times the route's goal for the gap between events is how long a retryable
 	// attempt waits for the next event of a stream.
 	hangEventGapFactor = 4
-	// overdueCheckInterval is the time between two checks whether an overdue request can be retried.
+	// overdueCheckInterval is the time between two checks whether a silent request can be retried.
 	overdueCheckInterval = 250 * time.Millisecond
-	// unreachableSilence is how long an attempt has had no progress before it is cancelled because its endpoint is
+	// unreachableSilence is how long an attempt has had no progress before it is given up because its endpoint is
 	// unreachable.
 	unreachableSilence = 350 * time.Millisecond
 )
 
 // watchdog detects that an attempt makes no progress. Only events of a stream count as progress:
 // neither the head of a response nor the bytes of a buffered body restart the timers. After
-// probeDelay it has the endpoint probed. It cancels a retryable attempt, so that the request is retried at another
-// endpoint, when the hang timeout expires and another endpoint can take the request, or when the endpoint is
-// unreachable and the attempt has been silent for a while: a single connection that fails is no evidence
+// probeDelay it has the endpoint probed. It gives a retryable attempt up when the hang timeout expires, or when the
+// endpoint is unreachable and the attempt has been silent for a while: a single connection that fails is no evidence
 // against a stream whose events keep arriving.
+//
+// Invariant: an attempt is cancelled only after the next one has been reserved, and none of its events is forwarded
+// after that.
 type watchdog struct {
-	attempt      *attempt
-	cancel       context.CancelCauseFunc
-	probeTimer   *time.Timer
-	hangTimer    *time.Timer  // nil for an attempt that must not be retried
-	lastProgress atomic.Int64 // Unix nanoseconds of the start of the attempt or of its last event
-	hasEvents    atomic.Bool
-	retry        control.PlacementRequest // for a retry before the first event
-	stopped      chan struct{}
+	attempt    *attempt
+	cancel     context.CancelCauseFunc
+	probeTimer *time.Timer
+	checkTimer *time.Timer // nil for an attempt that must not be retried
+	stopped    chan struct{}
+
+	mu           sync.Mutex
+	retry        control.PlacementRequest // for the next attempt
+	lastProgress time.Time                // start of the attempt, or its last event
+	hangTimeout  time.Duration            // silence after which the response is overdue
+	unreachable  bool                     // a connection to the endpoint has timed out during the attempt
+	ended        bool
+	reserved     *control.Reservation // of the next attempt, once this one has been given up
 }
 
 func newWatchdog(a *attempt, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{attempt: a, cancel: cancel, stopped: make(chan struct{})}
-	w.retry = control.PlacementRequest{Service: a.admission.Service, Tried: slices.Clone(a.triedEndpoints), Version: a.origin.version}
-	w.lastProgress.Store(time.Now().UnixNano())
+	w := &watchdog{attempt: a, cancel: cancel, stopped: make(chan struct{}), lastProgress: time.Now()}
+	w.retry = a.placementRequest(a.response.events > 0)
+	w.retry.Tried = slices.Clone(w.retry.Tried)
+	w.hangTimeout = max(hangGoalLatencyFactor*a.admission.Route.GoalLatency, minHangTimeout)
 	w.probeTimer = time.AfterFunc(probeDelay, func() {
 		a.s.control.Do(func(st *control.State, now boottime.Instant) { st.Suspect(now, a.placed) })
 	})
 	if !a.retryable() {
 		return w
 	}
-	w.hangTimer = time.AfterFunc(max(hangGoalLatencyFactor*a.admission.Route.GoalLatency, minHangTimeout), w.onOverdue)
+	w.mu.Lock() // check may run before checkTimer is set
+	defer w.mu.Unlock()
+	w.checkTimer = time.AfterFunc(w.hangTimeout, w.check)
 	go w.awaitUnreachable()
 	return w
 }
 
-// retryable reports whether the request may be retried at another endpoint if this attempt fails.
+// retryable reports whether another attempt is allowed after this one if the request may have run in it.
 func (a *attempt) retryable() bool {
-	r := a.admission.Route
-	return r.Retryable() && a.attempts.mayHaveRunCount+1 < r.MaxAttempts
+	after := a.attempts
+	after.add(delivery{maybeSent: true, mayHaveRun: true})
+	return after.retryDenied(a.admission.Route) == control.ReasonNone
 }
 
-// onOverdue cancels the attempt if the request can be retried, and otherwise checks again later.
-func (w *watchdog) onOverdue() {
-	if w.canRetry() {
-		w.cancel(errResponseOverdue)
+// check gives the attempt up if the control state reserves the next one, and otherwise checks again later.
+func (w *watchdog) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended || w.reserved != nil {
 		return
 	}
-	select {
-	case <-w.stopped:
-	default:
-		w.hangTimer.Reset(overdueCheckInterval)
+	silent := control.SilentAttempt{
+		Attempt: w.attempt.placed, Silence: time.Since(w.lastProgress),
+		HangTimeout: w.hangTimeout, UnreachableTimeout: unreachableSilence, Retry: w.retry,
 	}
-}
-
-// canRetry reports whether another endpoint could take the request now.
-func (w *watchdog) canRetry() bool {
-	req := w.retry
-	if w.hasEvents.Load() {
-		req.Version = w.attempt.placed.StreamVersion()
+	w.attempt.s.control.Do(func(st *control.State, now boottime.Instant) { w.reserved = st.GiveUp(now, silent) })
+	switch {
+	case w.reserved == nil:
+		w.checkTimer.Reset(overdueCheckInterval)
+	case w.reserved.Result == control.ConnectTimedOut:
+		w.cancel(errEndpointUnreachable)
+	default:
+		w.cancel(errResponseOverdue)
 	}
-	ok := false
-	w.attempt.s.control.Do(func(st *control.State, now boottime.Instant) { ok = st.CanRetry(now, req) })
-	return ok
 }
 
-// awaitUnreachable cancels the attempt once its endpoint is unreachable and the attempt has made no progress for
-// unreachableSilence.
+// awaitUnreachable brings the next check forward once a connection to the endpoint has timed out.
 func (w *watchdog) awaitUnreachable() {
 	select {
 	case <-w.attempt.placed.EndpointUnreachable:
 	case <-w.stopped:
 		return
 	}
-	for {
-		silentFor := time.Duration(time.Now().UnixNano() - w.lastProgress.Load())
-		if silentFor >= unreachableSilence {
-			break
-		}
-		select {
-		case <-time.After(unreachableSilence - silentFor):
-		case <-w.stopped:
-			return
-		}
-	}
-	unreachable := true
-	w.attempt.s.control.Do(func(st *control.State, _ boottime.Instant) { unreachable = st.Unreachable(w.attempt.placed) })
-	if unreachable {
-		w.cancel(errEndpointUnreachable)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ended {
+		w.unreachable = true
+		w.checkTimer.Reset(unreachableSilence - time.Since(w.lastProgress))
 	}
 }
 
-// progress restarts the timers after the endpoint has sent an event.
-func (w *watchdog) progress(goalEventGap time.Duration) {
-	w.lastProgress.Store(time.Now().UnixNano())
-	w.hasEvents.Store(true)
+// progress restarts the timers after the endpoint has sent an event. It returns false if the attempt has been given
+// up: the event must not be forwarded, since the next attempt sends it as well.
+func (w *watchdog) progress(goalEventGap time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reserved != nil {
+		return false
+	}
+	w.lastProgress = time.Now()
+	w.hangTimeout = max(hangEventGapFactor*goalEventGap, minHangTimeout)
+	w.retry.Stream = w.attempt.origin.stream
 	w.probeTimer.Reset(probeDelay)
-	if w.hangTimer != nil {
-		w.hangTimer.Reset(max(hangEventGapFactor*goalEventGap, minHangTimeout))
+	if w.checkTimer == nil {
+		return true
+	}
+	next := w.hangTimeout
+	if w.unreachable {
+		next = unreachableSilence
 	}
+	w.checkTimer.Reset(next)
+	return true
 }
 
-func (w *watchdog) stop() {
+// stop ends the watch and returns the reservation of the next attempt if this one has been given up, or nil.
+func (w *watchdog) stop() *control.Reservation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
 	close(w.stopped)
 	w.probeTimer.Stop()
-	if w.hangTimer != nil {
-		w.hangTimer.Stop()
+	if w.checkTimer != nil {
+		w.checkTimer.Stop()
 	}
+	return w.reserved
 }
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -47,6 +47,14 @@
 	return float64(retries+1) <= ratio*float64(requests)+extra
 }
 
+// ReturnRetry takes back a retry that AllowRetry counted at a time, because it was not made.
+func (w *Window) ReturnRetry(countedAt boottime.Instant) {
+	n := w.slotIndex(countedAt)
+	if s := &w.slots[n%int64(len(w.slots))]; s.index == n && s.retries > 0 {
+		s.retries--
+	}
+}
+
 // Counts returns the requests and retries in the window up to now.
 func (w *Window) Counts(now boottime.Instant) (requests, retries int) {
 	oldest := w.slotIndex(now) - windowSlots
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -79,3 +79,33 @@
 		}
 	}
 }
+
+// TestReturnedRetriesAreNotCounted: a retry that is returned within the window can be made again, and one that is
+// returned later changes no other count.
+func TestReturnedRetriesAreNotCounted(t *testing.T) {
+	const length = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		w := NewWindow(length)
+		now := boottime.Instant(time.Hour)
+		var counted []boottime.Instant
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			if len(counted) > 0 && rapid.Bool().Draw(t, "return") {
+				i := rapid.IntRange(0, len(counted)-1).Draw(t, "which")
+				w.ReturnRetry(counted[i])
+				counted = append(counted[:i], counted[i+1:]...)
+			} else if w.AllowRetry(now, 0, 1000) {
+				counted = append(counted, now)
+			}
+			want := 0
+			for _, at := range counted {
+				if w.slotIndex(at) >= w.slotIndex(now)-windowSlots {
+					want++
+				}
+			}
+			if _, got := w.Counts(now); got != want {
+				t.Fatalf("%d retries counted, want %d", got, want)
+			}
+		}
+	})
+}
