control: silence of a whole service is no evidence against its endpoints

If all endpoints of a service were silent for a second or so, each gateway started the requests there again at endpoints that were silent as well: work done twice, the retry budget used up, and the endpoints counted as failing, by which they are avoided, are found to be outliers, and count as possibly restarted for streams that need their version.

GiveUp now takes only an endpoint for the next attempt of an overdue response that has shown progress within half the hang timeout, or has had no attempt for as long. Progress is an event, or the start or end of a response. An attempt whose endpoint is unreachable has evidence of its own and is not bound by this.

--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -38,6 +38,7 @@
 	noRequestsUntil       boottime.Instant  // it wants no requests from this gateway before; also for its next incarnation
 	inFlight              int               // requests of this process
 	attempts              map[*Attempt]bool // the attempts of those requests
+	lastProgress          boottime.Instant  // last start or end of a response to this process; 0: none
 	reported              reportedLoad
 	probeRequested        bool // a request might have been sent to it if it were not down
 	coldStart             coldStart
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -38,6 +39,7 @@
 	versionCertain      bool
 	incarnation         fleet.Incarnation
 	sentAt              boottime.Instant
+	lastEvent           atomic.Int64 // boottime.Instant of the last event of its stream; 0: none
 	endpoint            *endpoint
 	endpointUnreachable chan struct{}
 }
@@ -56,6 +58,8 @@
 	Tried    []fleet.EndpointID // endpoints that already had an attempt; they are not eligible
 	Version  origin.Version     // the only version at which the request may run; 0: any
 	Stream   fleet.RequestID    // if set, the request goes on with this stream, of which this process has forwarded events
+
+	maxSilence time.Duration // endpoints that have been silent for as long are not eligible; 0: no limit
 }
 
 // atStreamVersion sets the version of a request that goes on with a stream. It is 0 if that version is not certain.
@@ -183,6 +187,7 @@
 		case e.health.down:
 			c.down = append(c.down, e)
 		case !s.admitsColdSend(now, e):
+		case req.maxSilence != 0 && e.silentFor(now, req.maxSilence):
 		case req.Version != 0 && (!s.versionCertain(e) || s.mayHaveRestarted(e)):
 			if oneVersion {
 				avoided = append(avoided, eligibleEndpoint{e, load})
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -28,9 +28,14 @@
 
 // GiveUp decides whether a silent attempt is given up. If so, it returns the reservation of the next one. It returns
 // nil if the attempt must go on, because it has not been silent for long enough, no other endpoint is eligible, or
-// the retry budget is exhausted: silence alone is no reason to end a response.
+// the retry budget is exhausted: silence alone is no reason to end a response. For an overdue response, endpoints that
+// have been silent for half the hang timeout are not eligible: if a whole service is silent, an attempt elsewhere is no
+// better, and nothing speaks against a single endpoint.
 func (s *State) GiveUp(now boottime.Instant, a SilentAttempt) *Reservation {
 	result := s.silenceResult(a)
+	if result == ResponseOverdue {
+		a.Retry.maxSilence = a.HangTimeout / 2
+	}
 	if result == 0 || len(s.classify(now, s.atStreamVersion(now, a.Retry)).eligible) == 0 {
 		return nil
 	}
@@ -47,6 +52,26 @@
 	return &Reservation{Attempt: p.Attempt, Result: result, window: window, reservedAt: now}
 }
 
+// NoteEvent records that an event of the attempt's stream has arrived. It is safe for concurrent use with the State.
+func (a *Attempt) NoteEvent(now boottime.Instant) { a.lastEvent.Store(int64(now)) }
+
+// silentFor reports whether an endpoint has shown no sign of progress for d, although it has had an attempt for as long.
+// An endpoint without attempts is not silent.
+func (e *endpoint) silentFor(now boottime.Instant, d time.Duration) bool {
+	since := now.Add(-d)
+	if e.lastProgress > since {
+		return false
+	}
+	waiting := false
+	for a := range e.attempts {
+		if boottime.Instant(a.lastEvent.Load()) > since {
+			return false
+		}
+		waiting = waiting || a.sentAt <= since
+	}
+	return waiting
+}
+
 // silenceResult returns the result of an attempt if it is given up now, or 0 if it has not been silent for long enough.
 func (s *State) silenceResult(a SilentAttempt) AttemptResult {
 	switch {
--- a/internal/control/reserve_test.go
+++ b/internal/control/reserve_test.go
@@ -133,3 +133,57 @@
 		}
 	}
 }
+
+// TestServiceWideSilenceGivesUpNoAttempt guards against restarting the requests of a silent service at endpoints that
+// are silent as well, and against counting that as failures of the endpoints.
+func TestServiceWideSilenceGivesUpNoAttempt(t *testing.T) {
+	const replicas = 4
+	w, st := oneGateway(t, replicas, 1000)
+	var silent []control.SilentAttempt
+	at := map[fleet.EndpointID]int{}
+	for len(at) < replicas || len(silent) < 20 {
+		a := silentAttempt(t, w, time.Second)
+		silent = append(silent, a)
+		at[a.Attempt.Endpoint]++
+	}
+	w.Run(time.Second)
+	for _, a := range silent {
+		if r := st.GiveUp(w.Now(), a); r != nil {
+			t.Fatalf("an attempt at %s was given up for one at %s, which is silent as well", a.Attempt.Endpoint, r.Attempt.Endpoint)
+		}
+	}
+	for _, progress := range []func(a *control.Attempt){
+		func(a *control.Attempt) { a.NoteEvent(w.Now()) },
+		func(a *control.Attempt) { st.ResponseStarted(w.Now(), a) },
+		func(a *control.Attempt) { st.AttemptEnded(w.Now(), a, control.ResponseComplete) },
+	} {
+		w.Run(time.Second)
+		first, last := silent[0], silent[len(silent)-1]
+		for _, a := range silent {
+			if a.Attempt.Endpoint != first.Attempt.Endpoint {
+				last = a
+			}
+		}
+		progress(last.Attempt)
+		r := st.GiveUp(w.Now(), first)
+		if r == nil || r.Attempt.Endpoint != last.Attempt.Endpoint {
+			t.Fatalf("the next attempt is %+v, want one at %s, the only endpoint that responds", r, last.Attempt.Endpoint)
+		}
+		st.ReleaseRetry(w.Now(), r)
+	}
+}
+
+// TestHungEndpointIsLeft: the attempts at an endpoint that hangs are given up at the hang timeout for endpoints that
+// have nothing to respond to, or have had it only for a moment.
+func TestHungEndpointIsLeft(t *testing.T) {
+	for _, busy := range []bool{false, true} {
+		w, st := oneGateway(t, 2, 1000)
+		hung := silentAttempt(t, w, hangTimeout)
+		w.Run(hangTimeout)
+		for busy && silentAttempt(t, w, 0).Attempt.Endpoint == hung.Attempt.Endpoint {
+		}
+		if r := st.GiveUp(w.Now(), hung); r == nil {
+			t.Errorf("the attempt at an endpoint that hangs was not given up; the other one is busy: %t", busy)
+		}
+	}
+}
--- a/internal/control/result.go
+++ b/internal/control/result.go
@@ -61,6 +61,7 @@
 	s.peerLoads.statusVersion++
 	switch r {
 	case ResponseComplete:
+		e.lastProgress = now
 		s.recordResult(now, e, true)
 		s.markUp(now, e)
 	case EndpointFailed, ResponseBroken, ResponseOverdue:
@@ -79,6 +80,7 @@
 
 // ResponseStarted records that the endpoint has begun to respond.
 func (s *State) ResponseStarted(now boottime.Instant, a *Attempt) {
+	a.endpoint.lastProgress = now
 	a.endpoint.noteAlive(now)
 }
 
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -288,3 +288,23 @@
 		})
 	}
 }
+
+// TestServiceWideSilenceRestartsNoRequest guards against starting the requests of a silent service again at endpoints
+// that are silent as well.
+func TestServiceWideSilenceRestartsNoRequest(t *testing.T) {
+	const requests, events = 60, 30
+	s := &silence{first: 800 * time.Millisecond, length: 1300 * time.Millisecond, count: 1, began: time.Now()}
+	ts := startTestServer(t, s.respond(events))
+	ts.publishUrgentConfig()
+	if n := ts.sendMany(requests, 0, "resumable", eventsText(1, events)); n != 0 {
+		t.Errorf("%d of %d streams are not complete", n, requests)
+	}
+	if n := ts.arrivals() - requests; n != 0 {
+		t.Errorf("%d of %d streams were started again", n, requests)
+	}
+	for _, e := range ts.control.s.Dump(boottime.Now()).Endpoints {
+		if e.FailureRate != 0 || e.Avoided {
+			t.Errorf("endpoint %s has a failure rate of %v", e.ID, e.FailureRate)
+		}
+	}
+}
--- a/internal/ingress/watch.go
+++ b/internal/ingress/watch.go
@@ -134,6 +134,7 @@
 		return false
 	}
 	w.lastProgress = time.Now()
+	w.attempt.placed.NoteEvent(boottime.Now())
 	w.hangTimeout = max(hangEventGapFactor*goalEventGap, minHangTimeout)
 	w.retry.Stream = w.attempt.origin.stream
 	w.probeTimer.Reset(probeDelay)
