--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -38,13 +39,11 @@
 	versionCertain      bool
 	incarnation         fleet.Incarnation
 	sentAt              boottime.Instant
+	lastEvent           atomic.Int64 // boottime.Instant of the last event of its stream; 0: none
 	endpoint            *endpoint
 	endpointUnreachable chan struct{}
 }
 
-// StreamVersion returns the version at which a stream goes on that the endpoint of the attempt has sent events of.
-func (a *Attempt) StreamVersion() origin.Version { return a.version }
-
 // Placement is the result of Place: an attempt, or the reason why there is none.
 type Placement struct {
 	Reason     Reason
@@ -58,10 +57,25 @@
 	Affinity uint64             // hash of the prompt's shared prefix; 0: none
 	Tried    []fleet.EndpointID // endpoints that already had an attempt; they are not eligible
 	Version  origin.Version     // the only version at which the request may run; 0: any
+	Stream   fleet.RequestID    // if set, the request goes on with this stream, of which this process has forwarded events
+
+	maxSilence time.Duration // endpoints that have been silent for as long are not eligible; 0: no limit
+}
+
+// atStreamVersion sets the version of a request that goes on with a stream. It is 0 if that version is not certain.
+func (s *State) atStreamVersion(now boottime.Instant, req PlacementRequest) PlacementRequest {
+	if req.Stream != "" {
+		req.Version = s.StreamVersion(now, req.Stream)
+	}
+	return req
 }
 
 // Place chooses an endpoint for a request and counts the attempt there until AttemptEnded.
 func (s *State) Place(now boottime.Instant, req PlacementRequest) Placement {
+	req = s.atStreamVersion(now, req)
+	if req.Stream != "" && req.Version == 0 {
+		return Placement{Reason: ReasonOriginUnknown}
+	}
 	c := s.classify(now, req)
 	for _, e := range c.uncertain {
 		if e.aliveAt == 0 && !e.health.probing && !e.health.down {
@@ -173,6 +187,7 @@
 		case e.health.down:
 			c.down = append(c.down, e)
 		case !s.admitsColdSend(now, e):
+		case req.maxSilence != 0 && e.silentFor(now, req.maxSilence):
 		case req.Version != 0 && (!s.versionCertain(e) || s.mayHaveRestarted(e)):
 			if oneVersion {
 				avoided = append(avoided, eligibleEndpoint{e, load})
