--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -1,13 +1,12 @@
 package ingress
 
 import (
+	"github.com/dandelionvane/dandelionvane/internal/attempts"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
 
-// maxTotalAttempts limits the attempts of one request, including failed connections and attempts
-// in which the endpoint did not run the request.
-const maxTotalAttempts = 4
+const maxTotalAttempts = attempts.MaxTotal
 
 // delivery is what is known about the delivery of the request and of its response in one attempt.
 type delivery struct {
@@ -33,19 +32,6 @@
 }
 
 // retryDenied returns the reason that rules out another attempt, or ReasonNone.
-//
-// A request that has not run is retried until maxTotalAttempts is reached. A request that may
-// have run is retried only if its route is retryable, until it may have run in MaxAttempts
-// attempts. A non-idempotent request therefore runs at most once.
 func (a *attemptHistory) retryDenied(r *routing.Route) control.Reason {
-	switch {
-	case a.count >= maxTotalAttempts:
-		return control.ReasonRefused
-	case a.mayHaveRunCount == 0:
-		return control.ReasonNone
-	case !r.Retryable() || a.mayHaveRunCount >= r.MaxAttempts:
-		return control.ReasonMayHaveRun
-	default:
-		return control.ReasonNone
-	}
+	return attempts.RetryDenied(a.count, a.mayHaveRunCount, r)
 }
