exchange: the head of a response is bounded

What callers saw: an endpoint that sent a head, a line, fields or interim responses without end took the gateway's memory until the process died, and with it every request that it had accepted.

Cause: heads were read by http.ReadResponse, which bounds neither bytes nor fields, in a loop without a bound on interim responses.

A head may have 16 KiB with all interim responses before it (the bound that internal/upstream sets for its transport), 256 fields, and 16 interim responses before it. Beyond that the attempt fails with ErrHeadTooLarge or ErrTooManyInterim in an *exchange.Error (MaybeSent), and the connection is closed at once: the endpoint counts as broken, an idempotent or resumable request is retried, any other ends with 502. The text of an error has at most 256 bytes, because net/http quotes what it cannot parse and the text is logged.

There is no bound in time on a head that dribbles: a sound endpoint may be silent for a second or so before it sends the first byte, so time is no evidence. The request's deadline bounds it, and the hang timeout of a retryable attempt.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,7 +7,6 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -37,8 +36,14 @@
 	Cause         error
 }
 
+// maxErrorBytes bounds the text of an Error, since net/http quotes what it cannot parse.
+const maxErrorBytes = 256
+
 // Error implements error.
-func (e *Error) Error() string { return "exchange: " + e.Cause.Error() }
+func (e *Error) Error() string {
+	text := "exchange: " + e.Cause.Error()
+	return text[:min(len(text), maxErrorBytes)]
+}
 
 // Timeout reports whether the cause is a timeout.
 func (e *Error) Timeout() bool {
@@ -111,22 +116,6 @@
 	return nil, &Error{MaybeSent: w.n > 0, Cause: err}
 }
 
-func readResponse(conn net.Conn, httpReq *http.Request) (*http.Response, error) {
-	br := bufio.NewReaderSize(conn, readBufferBytes)
-	for {
-		resp, err := http.ReadResponse(br, httpReq)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the endpoint switched protocols")
-		}
-	}
-}
-
 func newResponse(conn net.Conn, resp *http.Response) *Response {
 	return &Response{
 		Status: resp.StatusCode,
--- /dev/null
+++ b/internal/exchange/head.go
@@ -0,0 +1,74 @@
+package exchange
+
+import (
+	"bufio"
+	"io"
+	"math"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds on what precedes the body of a response. The head that stays in memory while the body is
+// read takes at most maxHeadBytes and about 100 bytes for each of maxHeadFields.
+const (
+	maxHeadBytes  = 16 << 10 // of the head and of all interim responses before it
+	maxHeadFields = 256      // of the head, and of each interim response
+	maxInterim    = 16       // interim (1xx) responses before the head
+)
+
+// Errors of responses that exceed a bound before their body. The connection is closed.
+var (
+	ErrHeadTooLarge   = errors.New("the head of the response is too large")
+	ErrTooManyInterim = errors.New("too many interim responses")
+)
+
+// headReader reads a connection up to a number of bytes, beyond which it returns ErrHeadTooLarge.
+type headReader struct {
+	r        io.Reader
+	left     int64 // bytes that may still be read
+	exceeded bool
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(b []byte) (int, error) {
+	if h.left <= 0 {
+		h.exceeded = true
+		return 0, ErrHeadTooLarge
+	}
+	n, err := h.r.Read(b[:min(int64(len(b)), h.left)])
+	h.left -= int64(n)
+	return n, err
+}
+
+// readResponse reads the head of the final response. The body of the returned response is not
+// bounded.
+func readResponse(conn io.Reader, httpReq *http.Request) (*http.Response, error) {
+	head := &headReader{r: conn, left: maxHeadBytes}
+	br := bufio.NewReaderSize(head, readBufferBytes)
+	for range maxInterim + 1 {
+		resp, err := http.ReadResponse(br, httpReq)
+		switch {
+		case head.exceeded: // err may be about the part that was read
+			return nil, ErrHeadTooLarge
+		case err != nil:
+			return nil, err
+		case fieldCount(resp.Header) > maxHeadFields:
+			return nil, ErrHeadTooLarge
+		case resp.StatusCode >= http.StatusOK:
+			head.left = math.MaxInt64
+			return resp, nil
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.New("the endpoint switched protocols")
+		}
+	}
+	return nil, ErrTooManyInterim
+}
+
+func fieldCount(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/ingress/endless_test.go
@@ -0,0 +1,60 @@
+package ingress
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// sentWithoutEnd is how many bytes an endpoint of these tests sends at most: many times what the
+// buffers of a connection hold.
+const sentWithoutEnd = 32 << 20
+
+// sendWithoutEnd sends a piece again and again until the connection is closed, and returns whether
+// it was closed before sentWithoutEnd bytes.
+func sendWithoutEnd(conn net.Conn, piece string) bool {
+	many := strings.Repeat(piece, 16<<10/len(piece)+1)
+	for sent := 0; sent < sentWithoutEnd; sent += len(many) {
+		if _, err := io.WriteString(conn, many); err != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// endlessResponses are beginnings of responses and what follows them without end.
+var endlessResponses = map[string]struct{ begin, piece string }{
+	"head": {"HTTP/1.1 200 OK\r\nX-One: ", "x"},
+}
+
+// TestAnswerWithoutEndIsCutOffAndRetried: an endpoint whose answer has no end is cut off. The
+// request is retried if its kind allows that, and the caller otherwise gets a 502.
+func TestAnswerWithoutEndIsCutOffAndRetried(t *testing.T) {
+	for name, answer := range endlessResponses {
+		for route, want := range map[string]struct{ status, arrivals int }{
+			"idempotent":     {http.StatusOK, 2},
+			"non-idempotent": {http.StatusBadGateway, 1},
+		} {
+			t.Run(name+", "+route, func(t *testing.T) {
+				cut := make(chan bool, 1)
+				ts := startTestServer(t, func(n int, conn net.Conn, _ *http.Request) {
+					if n > 1 {
+						writeCompleteResponse(conn, "good")
+						return
+					}
+					_, _ = io.WriteString(conn, answer.begin)
+					cut <- sendWithoutEnd(conn, answer.piece)
+				})
+				g := ts.send(http.MethodPost, route, "body")
+				if g.status != want.status || g.err != nil || ts.arrivals() != want.arrivals {
+					t.Errorf("status %d, %v, %d arrivals; want %d and %d", g.status, g.err, ts.arrivals(), want.status, want.arrivals)
+				}
+				if !<-cut {
+					t.Errorf("%d bytes were sent on an open connection", sentWithoutEnd)
+				}
+			})
+		}
+	}
+}
