sse: the bytes between two events are bounded

What callers saw: a stream of comments, blank lines or fields of no event without end kept its request until the deadline and the processor busy: an event was bounded, what lies between events was not.

Next returns ErrTooMuchBetweenEvents after 256 KiB (the bound of an event) since the last event. The attempt then ends as broken, and the request is retried where its kind allows; the router's stack counts it as a violation of the protocol, like an event that is too large. A sound server that sends a comment a second stays below the bound for 9 hours.

--- a/internal/ingress/endless_test.go
+++ b/internal/ingress/endless_test.go
@@ -24,9 +24,13 @@
 	return false
 }
 
+const streamBegin = "HTTP/1.1 200 X\r\nX-Stamp: 1\r\nX-Id: id-1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 // endlessResponses are beginnings of responses and what follows them without end.
 var endlessResponses = map[string]struct{ begin, piece string }{
-	"head": {"HTTP/1.1 200 OK\r\nX-One: ", "x"},
+	"head":     {"HTTP/1.1 200 OK\r\nX-One: ", "x"},
+	"comments": {streamBegin, "8\r\n: ping\n\n\r\n"},
+	"event":    {streamBegin + "6\r\ndata: \r\n", "8\r\nxxxxxxxx\r\n"},
 }
 
 // TestAnswerWithoutEndIsCutOffAndRetried: an endpoint whose answer has no end is cut off. The
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -13,8 +13,15 @@
 
 const readBufferBytes = 4 << 10
 
-// ErrTooLarge reports an event longer than MaxEventBytes.
-var ErrTooLarge = errors.New("sse: event too large")
+// MaxBytesBetweenEvents is the maximum size of what may stand before an event: comments, blank lines
+// and fields of no event.
+const MaxBytesBetweenEvents = 256 << 10
+
+// Errors of streams that exceed a bound.
+var (
+	ErrTooLarge             = errors.New("sse: event too large")
+	ErrTooMuchBetweenEvents = errors.New("sse: too many bytes between events")
+)
 
 // Event is one server-sent event. Its fields are valid until the next call of Next.
 type Event struct {
@@ -38,10 +45,12 @@
 	return &Reader{src: bufio.NewReaderSize(src, readBufferBytes)}
 }
 
-// Next returns the next complete event. It returns io.EOF at the end of the stream, and
-// io.ErrUnexpectedEOF if the stream ends within an event.
+// Next returns the next complete event. It returns io.EOF at the end of the stream,
+// io.ErrUnexpectedEOF if the stream ends within an event, and ErrTooLarge or
+// ErrTooMuchBetweenEvents if it exceeds a bound; nothing can be read after an error.
 func (r *Reader) Next() (Event, error) {
 	r.reset()
+	skipped := 0 // bytes since the last event
 	for {
 		line, err := r.readLine()
 		if errors.Is(err, io.EOF) && r.eventBytes > 0 {
@@ -57,6 +66,9 @@
 		if r.hasField {
 			return r.event, nil
 		}
+		if skipped += r.eventBytes; skipped > MaxBytesBetweenEvents {
+			return Event{}, ErrTooMuchBetweenEvents
+		}
 		r.reset()
 	}
 }
--- a/internal/sse/reader_test.go
+++ b/internal/sse/reader_test.go
@@ -70,3 +70,59 @@
 		}
 	})
 }
+
+// endless returns a piece of a stream again and again.
+type endless struct {
+	piece string
+	left  string
+	read  int
+}
+
+// Read implements io.Reader. It gives up after many times the bounds of the Reader.
+func (e *endless) Read(b []byte) (int, error) {
+	if e.read > 64*MaxEventBytes {
+		return 0, io.ErrNoProgress
+	}
+	if e.left == "" {
+		e.left = e.piece
+	}
+	n := copy(b, e.left)
+	e.left = e.left[n:]
+	e.read += n
+	return n, nil
+}
+
+// TestBytesBetweenEventsWithoutEnd checks that a stream ends with an error when it sends comments,
+// blank lines or fields of no event without end.
+func TestBytesBetweenEventsWithoutEnd(t *testing.T) {
+	for name, piece := range map[string]string{
+		"comments":            ": ping\n\n",
+		"long comments":       ": " + strings.Repeat("x", MaxEventBytes/2) + "\n\n",
+		"blank lines":         "\n",
+		"blank lines with CR": "\r\n",
+		"unknown fields":      "retry: 1\n\n",
+	} {
+		src := &endless{piece: piece}
+		if _, err := NewReader(src).Next(); !errors.Is(err, ErrTooMuchBetweenEvents) {
+			t.Errorf("%s: error %v after %d bytes", name, err, src.read)
+		}
+		if src.read > MaxBytesBetweenEvents+MaxEventBytes+readBufferBytes {
+			t.Errorf("%s: %d bytes were read", name, src.read)
+		}
+	}
+}
+
+// TestBytesBetweenEventsCountFromTheLastEvent checks that comments up to the bound are skipped
+// before each event, however many there are in all.
+func TestBytesBetweenEventsCountFromTheLastEvent(t *testing.T) {
+	comment := ": " + strings.Repeat("x", MaxBytesBetweenEvents/4-4) + "\n\n"
+	r := NewReader(strings.NewReader(strings.Repeat(strings.Repeat(comment, 4)+"data: a\n\n", 5)))
+	for range 5 {
+		if ev, err := r.Next(); err != nil || string(ev.Data) != "a" {
+			t.Fatalf("got %q, %v", ev.Data, err)
+		}
+	}
+	if _, err := r.Next(); !errors.Is(err, io.EOF) {
+		t.Errorf("at the end: %v", err)
+	}
+}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -51,7 +51,7 @@
 }
 
 func protocolError(err error) error {
-	if errors.Is(err, sse.ErrTooLarge) {
+	if errors.Is(err, sse.ErrTooLarge) || errors.Is(err, sse.ErrTooMuchBetweenEvents) {
 		return errProtocol
 	}
 	return err
