ingress: each connection that ends without an answer has a typed cause

Callers saw connections that ended without an answer, and the logs told of only some of them: idle closes and the requests that a planned stop cut had no line, a stream's end had its reason as text, and a panic of the handler was net/http's line with a closed connection.

All such ends of one request now go through call.cut, which logs 512 caller_cut with a typed cause and the result of the last attempt and counts it in callers_ended. A check of idle connections that closed some, and the end of a process with requests in progress, log one 514 callers_closed. A panic is logged as 513 handler_panicked; the caller gets a 500 if nothing had been sent. dandelionvane trace knows the new lines.

TestPanicBeforeTheAnswerGetsA500 printed on the old code, at both calls: status 0, header map[], error EOF, want 500.

--- a/internal/event/number.go
+++ b/internal/event/number.go
@@ -74,6 +74,9 @@
 	RequestRejected    Number = 509
 	CallerLeft         Number = 510
 	RequestOverdue     Number = 511
+	CallerCut          Number = 512
+	HandlerPanicked    Number = 513
+	CallersClosed      Number = 514
 	StoreReturned      Number = 803
 	HistoryGone        Number = 804
 	StoreRestored      Number = 805
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -7,6 +7,7 @@
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/event"
+	"github.com/dandelionvane/dandelionvane/internal/ingress"
 )
 
 const (
@@ -21,6 +22,7 @@
 func (p *process) awaitStop(ctx context.Context) error {
 	select {
 	case err := <-p.listenerErrs:
+		p.callerHandler.End(ingress.EndProcess)
 		return err
 	case <-ctx.Done():
 	}
@@ -40,6 +42,9 @@
 	time.Sleep(min(balancerDrainDelay, grace))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-time.Since(began))
 	defer cancel()
-	cutOff := p.callerServer.Shutdown(ctx) != nil
+	cutOff := 0
+	if p.callerServer.Shutdown(ctx) != nil {
+		cutOff = p.callerHandler.End(ingress.EndGracePeriod)
+	}
 	event.LogFields(event.ProcessStopped, "took_ms", time.Since(began).Milliseconds(), "requests_cut_off", cutOff)
 }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -179,7 +179,7 @@
 	if c.r.Context().Err() != nil || c.response.callerDisconnected {
 		event.LogFields(event.CallerLeft, "request", c.meta.ID, "after_ms", c.elapsed(), "attempts", c.attempts.count)
 		c.s.meter.requestEnded(c, "caller_left")
-		panic(http.ErrAbortHandler)
+		c.cut(c.s.endCause())
 	}
 	if ctx.Err() == nil {
 		return false
--- /dev/null
+++ b/internal/ingress/endings.go
@@ -0,0 +1,117 @@
+package ingress
+
+import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
+	"strings"
+
+	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/event"
+)
+
+// EndCause is why a caller's connection ended without a complete answer.
+type EndCause uint8
+
+// Causes of the end of a caller's connection.
+const (
+	EndCallerLeft    EndCause = iota + 1 // the caller closed its connection or its sending side
+	EndDeadline                          // the deadline passed after a stream had begun
+	EndEndpointBroke                     // the endpoint broke off a stream, which cannot be retried
+	EndNoEndpoint                        // no endpoint could continue a stream
+	EndRetryBudget                       // the retry budget forbade to continue a stream
+	EndOriginUnknown                     // no endpoint is known to be at the version at which a stream began
+	EndInternalError                     // a fault of this program
+	EndIdle                              // no request for longer than the idle timeout
+	EndGracePeriod                       // the grace period of a planned stop is over
+	EndProcess                           // the process ends without a planned stop
+)
+
+// String returns the cause's stable name in logs and metrics.
+func (e EndCause) String() string {
+	switch e {
+	case EndCallerLeft:
+		return "caller_left"
+	case EndDeadline:
+		return "deadline"
+	case EndEndpointBroke:
+		return "endpoint_broke_off"
+	case EndNoEndpoint:
+		return "no_endpoint"
+	case EndRetryBudget:
+		return "retry_budget"
+	case EndOriginUnknown:
+		return "origin_unknown"
+	case EndInternalError:
+		return "internal_error"
+	case EndIdle:
+		return "idle"
+	case EndGracePeriod:
+		return "grace_period"
+	case EndProcess:
+		return "process_end"
+	default:
+		return "invalid"
+	}
+}
+
+// endCauseOf returns why a stream ends for which the control state allows no further attempt.
+func endCauseOf(r control.Reason) EndCause {
+	switch r {
+	case control.ReasonRetryBudget:
+		return EndRetryBudget
+	case control.ReasonOriginUnknown, control.ReasonVersionGone:
+		return EndOriginUnknown
+	case control.ReasonMayHaveRun, control.ReasonRefused:
+		return EndEndpointBroke
+	default:
+		return EndNoEndpoint
+	}
+}
+
+// cut closes the caller's connection without a complete answer. It does not return: net/http closes the
+// connection when the handler panics with http.ErrAbortHandler.
+func (c *call) cut(cause EndCause) {
+	event.LogFields(event.CallerCut, "request", c.meta.ID, "cause", cause, "last_attempt", c.attempts.lastResult, "sends", c.attempts.count,
+		"status", c.response.status, "events", c.response.events, "elapsed_ms", c.elapsed())
+	c.s.meter.callersEnded(cause, 1)
+	panic(http.ErrAbortHandler)
+}
+
+// stackLines is the number of lines of a panic's stack that are logged.
+const stackLines = 24
+
+// recoverPanic is deferred by ServeHTTP. A panic of the handler is a fault of this program: the caller gets a 500 if
+// nothing was sent. The panic of cut is passed on to net/http.
+func (c *call) recoverPanic() {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if fault == http.ErrAbortHandler {
+		panic(fault)
+	}
+	event.LogFields(event.HandlerPanicked, "request", c.meta.ID, "cause", EndInternalError, "panic", fmt.Sprint(fault), "stack", firstLines(debug.Stack(), stackLines))
+	c.s.meter.requestEnded(c, "internal_error")
+	if c.response.started {
+		c.cut(EndInternalError)
+	}
+	c.respondInternalError()
+}
+
+// respondInternalError sends a 500 without the headers of an endpoint's response.
+func (c *call) respondInternalError() {
+	h := c.w.Header()
+	closes := h.Get("Connection")
+	clear(h)
+	if closes != "" {
+		h.Set("Connection", closes)
+	}
+	http.Error(c.w, "a fault of the gateway", http.StatusInternalServerError)
+}
+
+// firstLines returns the first n lines of a text.
+func firstLines(text []byte, n int) string {
+	lines := strings.SplitN(string(text), "\n", n+1)
+	return strings.Join(lines[:min(n, len(lines))], "\n")
+}
--- /dev/null
+++ b/internal/ingress/endings_test.go
@@ -0,0 +1,71 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/control"
+)
+
+// faultyControl is a Control that panics at one of its calls.
+type faultyControl struct {
+	next      Control
+	remaining int // calls before the one that panics
+}
+
+// Do implements Control.
+func (c *faultyControl) Do(f func(*control.State, boottime.Instant)) {
+	if c.remaining == 0 {
+		c.next.Do(f)
+		panic("a fault")
+	}
+	c.remaining--
+	c.next.Do(f)
+}
+
+// TestPanicBeforeTheAnswerGetsA500 guards against a connection that is closed without an answer.
+func TestPanicBeforeTheAnswerGetsA500(t *testing.T) {
+	for _, remaining := range []int{0, 1} {
+		ts := startTestServer(t, func(_ int, c net.Conn, _ *http.Request) { writeCompleteResponse(c, "good") })
+		ts.server.control = &faultyControl{next: ts.control, remaining: remaining}
+		if got := ts.send("GET", "idempotent", ""); got.status != http.StatusInternalServerError || got.header.Get("X-Stamp") != "" {
+			t.Errorf("panic at call %d: status %d, header %v, error %v, want 500", remaining, got.status, got.header, got.err)
+		}
+	}
+}
+
+// TestPanicInsideAStreamCutsIt guards against a stream that looks complete.
+func TestPanicInsideAStreamCutsIt(t *testing.T) {
+	reached := make(chan struct{})
+	ts := startTestServer(t, func(_ int, c net.Conn, _ *http.Request) {
+		writeStreamHead(c)
+		writeEvents(c, 1, 1)
+		<-reached
+		resetConn(c)
+	})
+	ts.server.control = &faultyControl{next: ts.control, remaining: 3} // admitted, placed, head received
+	close(reached)
+	if got := ts.send("GET", "stream", ""); got.err == nil {
+		t.Errorf("status %d, body %q, want an incomplete answer", got.status, got.body)
+	}
+}
+
+// TestEndCauses checks the cause of a begun stream's end for each reason that rules out a further attempt.
+func TestEndCauses(t *testing.T) {
+	for reason, want := range map[control.Reason]EndCause{
+		control.ReasonNoEndpoint:    EndNoEndpoint,
+		control.ReasonNoConfig:      EndNoEndpoint,
+		control.ReasonStale:         EndNoEndpoint,
+		control.ReasonRetryBudget:   EndRetryBudget,
+		control.ReasonOriginUnknown: EndOriginUnknown,
+		control.ReasonVersionGone:   EndOriginUnknown,
+		control.ReasonMayHaveRun:    EndEndpointBroke,
+		control.ReasonRefused:       EndEndpointBroke,
+	} {
+		if got := endCauseOf(reason); got != want {
+			t.Errorf("%v: cause %v, want %v", reason, got, want)
+		}
+	}
+}
--- a/internal/ingress/meter.go
+++ b/internal/ingress/meter.go
@@ -33,6 +33,11 @@
 		Histogram("first_event_seconds", latencyBuckets).RecordDuration(time.Since(c.arrivedAt))
 }
 
+// callersEnded counts n connections of callers that end without a complete answer, or while idle, for the same cause.
+func (m *Meter) callersEnded(cause EndCause, n int) {
+	m.scope.Tagged(map[string]string{"cause": cause.String()}).Counter("callers_ended").Inc(int64(n))
+}
+
 // attemptEnded counts an attempt by endpoint and result.
 func (m *Meter) attemptEnded(a *attempt) {
 	m.scope.Tagged(map[string]string{"endpoint": string(a.placed.Endpoint), "result": a.result.String()}).Counter("attempts").Inc(1)
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -53,7 +53,7 @@
 	case c.attempts.mayHaveRunCount == 0:
 		c.respondNotRun(reason, after)
 	default:
-		c.failOutcomeUnknown(http.StatusBadGateway, reason.String())
+		c.failOutcomeUnknown(http.StatusBadGateway, reason.String(), endCauseOf(reason))
 	}
 }
 
@@ -65,12 +65,12 @@
 		c.writeDeferredFailure()
 		return
 	}
-	c.failOutcomeUnknown(http.StatusGatewayTimeout, "the time for the answer is over")
+	c.failOutcomeUnknown(http.StatusGatewayTimeout, "the time for the answer is over", EndDeadline)
 }
 
 // failOutcomeUnknown responds with an error to a request that may have run. If a stream has
-// started, the caller's connection is aborted instead, so that the stream is seen to be incomplete.
-func (c *call) failOutcomeUnknown(status int, detail string) {
+// started, the caller's connection is cut for the given cause instead, so that the stream is seen to be incomplete.
+func (c *call) failOutcomeUnknown(status int, detail string, cause EndCause) {
 	if c.response.started {
 		status = c.response.status
 	}
@@ -78,7 +78,7 @@
 		"may_have_run", c.attempts.mayHaveRunCount, "events", c.response.events, "cut", c.response.started, "elapsed_ms", c.elapsed())
 	c.s.meter.requestEnded(c, "unknown")
 	if c.response.started {
-		panic(http.ErrAbortHandler)
+		c.cut(cause)
 	}
 	http.Error(c.w, detail, status)
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/exchange"
 )
 
@@ -27,6 +28,8 @@
 	meter              *Meter
 	idle               idleConns
 	keepAlivesDisabled atomic.Bool
+	inProgress         atomic.Int64  // requests
+	ending             atomic.Uint32 // EndCause of requests that are still in progress, 0 while the process goes on
 }
 
 // New returns a server that sends requests to endpoints with the given client.
@@ -43,9 +46,32 @@
 func (s *Server) CloseIdle() {
 	var limit time.Duration
 	s.control.Do(func(st *control.State, _ boottime.Instant) { limit = st.Limits().IdleTimeout })
-	if limit > 0 {
-		s.idle.closeOlder(limit)
+	if limit <= 0 {
+		return
 	}
+	if n := s.idle.closeOlder(limit); n > 0 {
+		event.LogFields(event.CallersClosed, "cause", EndIdle, "connections", n, "limit_ms", limit.Milliseconds())
+		s.meter.callersEnded(EndIdle, n)
+	}
+}
+
+// End records that the process ends for the given cause, and with it the connections of the requests in progress.
+// It returns their number.
+func (s *Server) End(cause EndCause) int {
+	s.ending.Store(uint32(cause))
+	n := int(s.inProgress.Load())
+	if n > 0 {
+		event.LogFields(event.CallersClosed, "cause", cause, "connections", n, "limit_ms", 0)
+	}
+	return n
+}
+
+// endCause returns why the connection of a request in progress has ended.
+func (s *Server) endCause() EndCause {
+	if cause := EndCause(s.ending.Load()); cause != 0 {
+		return cause
+	}
+	return EndCallerLeft
 }
 
 // DisableKeepAlives makes the server send "Connection: close" with the response to every request
@@ -67,5 +93,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{s: s, w: w, r: r, arrivedAt: time.Now()}
+	s.inProgress.Add(1)
+	defer s.inProgress.Add(-1)
+	defer c.recoverPanic()
 	c.serve()
 }
--- a/internal/trace/cause.go
+++ b/internal/trace/cause.go
@@ -22,6 +22,8 @@
 		return t.unknownCause()
 	case event.CallerLeft:
 		return fmt.Sprintf("the caller closed its connection after %s ms; %s", end.Get("after_ms"), t.describeLastAttempt())
+	case event.HandlerPanicked:
+		return "a fault of the gateway ended it: " + end.Get("panic")
 	default:
 		return t.unfinishedCause()
 	}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -54,7 +54,15 @@
 
 // firstLine and lastLine bound the request in time, by its process's clock.
 func (t *Trace) firstLine() *Line { return &t.RequestLines[0] }
-func (t *Trace) lastLine() *Line  { return &t.RequestLines[len(t.RequestLines)-1] }
+
+// lastLine returns the last line that tells the outcome: event.CallerCut follows such a line.
+func (t *Trace) lastLine() *Line {
+	last := len(t.RequestLines) - 1
+	if last > 0 && t.RequestLines[last].Event == event.CallerCut {
+		last--
+	}
+	return &t.RequestLines[last]
+}
 
 // endpoints returns the endpoints that the request was sent to.
 func (t *Trace) endpoints() []string {
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -23,6 +23,11 @@
 I0824 04:50:17.500000   23252 call.go:79] "request_admitted" event=505 request="r-cut" route="r" revision=15 age_ms=105
 I0824 04:50:17.500100   23252 attempt.go:21] "attempt_placed" event=506 request="r-cut" endpoint="e-3" load=1 mean=0.5 of=9
 I0824 04:50:18.000000   99999 gateway.go:88] "process_started" event=101 instance="a-1" data_centre="a"
+I0824 04:50:17.500000   23252 call.go:79] "request_admitted" event=505 request="r-left" route="r" revision=15 age_ms=105
+I0824 04:50:17.600000   23252 call.go:79] "caller_left" event=510 request="r-left" after_ms=99 attempts=0
+I0824 04:50:17.600000   23252 endings.go:79] "caller_cut" event=512 request="r-left" cause="caller_left" sends=0
+I0824 04:50:17.700000   23252 call.go:79] "request_admitted" event=505 request="r-fault" route="r" revision=15 age_ms=105
+E0824 04:50:17.700000   23252 endings.go:79] "handler_panicked" event=513 request="r-fault" cause="internal_error" panic="no such index"
 not an event
 I0824 nonsense] "x" event=1
 `
@@ -54,6 +59,8 @@
 		"r-broken": {4, 1, []string{"broke off after 7 events", "e-1", "unreachable", `connection "early"`, "reported it down", "another attempt"}},
 		"r-stale":  {1, 0, []string{"5200 ms before", "busy", "did not run", "500 ms"}},
 		"r-cut":    {2, 0, []string{"the process ended", "e-3"}},
+		"r-left":   {3, 0, []string{"the caller closed its connection after 99 ms"}},
+		"r-fault":  {2, 0, []string{"a fault of the gateway", "no such index"}},
 	} {
 		tr, err := Reconstruct(parseLogs(t), id)
 		if err != nil {
