callerconn: one place decides when a caller's connection may close

net/http reports a connection as idle until it has parsed the next request's head, so whoever closes by that state closes requests that have arrived.

The new package wraps the callers' listener and connections. The decision is a function of the connection's phase, what its last answer announced, the reason and the time. There is no moment at which bytes have been taken and the connection is closed. A read deadline no longer drops what arrived before it.

No further system call for a request.

--- /dev/null
+++ b/internal/callerconn/conn.go
@@ -0,0 +1,188 @@
+package callerconn
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// interrupted is a deadline in the past.
+var interrupted = time.Unix(1, 0)
+
+// Conn is a caller's connection. Methods that it doesn't define are those of the TCP connection.
+type Conn struct {
+	*net.TCPConn
+	listener *Listener
+	accepted time.Time
+
+	mu        sync.Mutex
+	phase     Phase
+	since     time.Time     // start of the phase
+	announced time.Duration // Keep-Alive timeout of the last answer
+	deadline  time.Time     // for reads, as set by the server
+	awaits    bool          // in the phase Waiting: the server has begun to wait for the next request
+	reading   bool          // a Read is in progress
+	asked     Reason        // why the connection shall be closed, 0 if it shall not
+	limit     time.Duration // idle timeout for the decision on asked
+}
+
+// Announce records the Keep-Alive timeout that the answer in progress carries, 0 for none.
+func (c *Conn) Announce(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.announced = timeout
+}
+
+// answered records the end of an answer after which the connection is kept.
+func (c *Conn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setPhase(Waiting)
+	c.awaits = false
+}
+
+func (c *Conn) setPhase(p Phase) { c.phase, c.since = p, time.Now() }
+
+// SetReadDeadline implements net.Conn. The server sets the deadline when it begins to wait for a request, and again
+// when it has enough bytes of a head; these may have been buffered behind the request before.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase == Waiting && !c.awaits:
+		c.awaits = true
+	case c.phase == Waiting, c.phase == Started:
+		c.setPhase(InFlight)
+	}
+	c.deadline = t
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// Read implements net.Conn. A deadline ends the wait for bytes; those that have arrived are read regardless of it.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		c.beginRead()
+		n, err := c.TCPConn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.aborted() {
+			n, err = c.readArrived(p, err)
+		}
+		done, closeFor := c.endRead(n, err)
+		if closeFor != 0 {
+			c.listener.countClosed(closeFor)
+			_ = c.Close() // the server closes it once more
+		}
+		if done {
+			return n, err
+		}
+	}
+}
+
+func (c *Conn) beginRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+}
+
+// aborted reports whether the server has set a deadline in the past to end a read. What has arrived stays in the
+// receive buffer for its next read.
+func (c *Conn) aborted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked == 0 && c.deadline.Before(c.accepted)
+}
+
+// readArrived reads without waiting, regardless of the deadline. It returns the error none if nothing has arrived. It
+// must be called only by Read.
+func (c *Conn) readArrived(p []byte, none error) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var readErr error
+	err = raw.Control(func(fd uintptr) {
+		n, readErr = syscall.Read(int(fd), p)
+		for readErr == syscall.EINTR {
+			n, readErr = syscall.Read(int(fd), p)
+		}
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case readErr == syscall.EAGAIN:
+		return 0, none
+	case readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", readErr)}
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	default:
+		return n, nil
+	}
+}
+
+// endRead updates the state after a read. It returns false if the read was only interrupted by a sweep and the
+// connection is kept, and the reason for which the connection must be closed, or 0.
+func (c *Conn) endRead(n int, err error) (done bool, closeFor Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	why := c.asked
+	c.asked = 0
+	if why != 0 {
+		_ = c.TCPConn.SetReadDeadline(c.deadline) // fails only if the connection is closed
+	}
+	if n > 0 {
+		c.received()
+	}
+	if why == 0 || n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return true, 0
+	}
+	now := time.Now()
+	if Decide(c.state(), why, c.limit, now) == Close {
+		return true, why
+	}
+	expired := !c.deadline.IsZero() && !now.Before(c.deadline)
+	return expired, 0
+}
+
+// received updates the phase after bytes were read.
+func (c *Conn) received() {
+	switch c.phase {
+	case Fresh:
+		c.setPhase(InFlight)
+	case Waiting:
+		c.setPhase(Started)
+	}
+}
+
+func (c *Conn) state() State { return State{Phase: c.phase, Since: c.since, Announced: c.announced} }
+
+// askToClose interrupts the reader if the connection may be closed, and reports whether it did. The reader then
+// decides with what has arrived.
+func (c *Conn) askToClose(why Reason, limit time.Duration, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.reading || Decide(c.state(), why, limit, now) != Close {
+		return false
+	}
+	c.asked, c.limit = why, limit
+	return c.TCPConn.SetReadDeadline(interrupted) == nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.listener.remove(c)
+	return c.TCPConn.Close()
+}
--- /dev/null
+++ b/internal/callerconn/listener.go
@@ -0,0 +1,119 @@
+package callerconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Listener accepts callers' connections and keeps track of them.
+type Listener struct {
+	*net.TCPListener
+
+	mu        sync.Mutex
+	conns     map[*Conn]struct{}
+	accepting int            // calls of Accept
+	closed    map[Reason]int // since the last call of Closed
+}
+
+// NewListener returns a listener that accepts the connections of l.
+func NewListener(l *net.TCPListener) *Listener {
+	return &Listener{TCPListener: l, conns: map[*Conn]struct{}{}, closed: map[Reason]int{}}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	l.beginAccept()
+	tcp, err := l.AcceptTCP()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepting--
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	c := &Conn{TCPConn: tcp, listener: l, accepted: now, since: now}
+	l.conns[c] = struct{}{}
+	return c, nil
+}
+
+func (l *Listener) beginAccept() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepting++
+}
+
+// ConnState must be the ConnState hook of the http.Server that serves a Listener.
+func ConnState(c net.Conn, s http.ConnState) {
+	if conn, ok := c.(*Conn); ok && s == http.StateIdle {
+		conn.answered()
+	}
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// ConnContext must be the ConnContext hook of the http.Server that serves a Listener.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Announce records the Keep-Alive timeout that an answer carries, 0 for none. ctx is the context of the answer's
+// request.
+func Announce(ctx context.Context, timeout time.Duration) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.Announce(timeout)
+	}
+}
+
+// Sweep examines all connections for the same reason and returns how many of them it has asked to close. They close
+// soon after, except those in which a request has arrived.
+func (l *Listener) Sweep(why Reason, limit time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	asked := 0
+	for c := range l.conns {
+		if c.askToClose(why, limit, now) {
+			asked++
+		}
+	}
+	return asked
+}
+
+// Closed returns how many connections have been closed for a reason since the last call.
+func (l *Listener) Closed(why Reason) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.closed[why]
+	delete(l.closed, why)
+	return n
+}
+
+// Len returns the number of open connections.
+func (l *Listener) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// idle reports whether no connection is open or just being accepted.
+func (l *Listener) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns) == 0 && l.accepting == 0
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+func (l *Listener) countClosed(why Reason) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed[why]++
+}
