ingress: a caller's connection is closed only when its promise is over and nothing is in it

Callers saw connections closed without an answer although a whole request had been sent: after a shorter idle timeout was published, since all gateways closed by net/http's state in the same second, and 2.5 s after a stop signal, since http.Server.Shutdown closes by that state too, refuses a request that it has read, and closes a connection after an answer that had not said so.

Answers now announce the published idle timeout in Keep-Alive, and internal/callerconn closes a connection when the longer of that and the present timeout is over, plus a second, and nothing has arrived. At a planned stop every answer whose head is sent after the signal carries Connection: close; connections without a request stay open until what was announced is over, at the longest for idleDrainTime and until 0.3 s before the grace period's reserve. Shutdown is no longer used. Heads of requests are bounded by 64 KiB instead of net/http's 1 MiB.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,21 +37,20 @@
 
 // process is one running gateway.
 type process struct {
-	opts          Options
-	settings      Settings // as read at the start; after a reload, only store, seeds and the control state have the new values
-	loop          *loop
-	ctx           context.Context // cancelled when the process ends
-	wg            sync.WaitGroup
-	metrics       *metrics.Registry
-	client        *exchange.Client
-	store         atomic.Pointer[published.Client]
-	storeReads    chan control.ReadStore
-	peers         *gossip.Transport
-	seeds         atomic.Pointer[seedClient]
-	items         itemsCache
-	callerHandler *ingress.Server // handler of callerServer
-	callerServer  *http.Server
-	listenerErrs  chan error
+	opts         Options
+	settings     Settings // as read at the start; after a reload, only store, seeds and the control state have the new values
+	loop         *loop
+	ctx          context.Context // cancelled when the process ends
+	wg           sync.WaitGroup
+	metrics      *metrics.Registry
+	client       *exchange.Client
+	store        atomic.Pointer[published.Client]
+	storeReads   chan control.ReadStore
+	peers        *gossip.Transport
+	seeds        atomic.Pointer[seedClient]
+	items        itemsCache
+	callers      *ingress.Server
+	listenerErrs chan error
 
 	peerHTTPClient *http.Client // for the control addresses of peers
 }
@@ -82,7 +81,7 @@
 	options := settings.controlOptions(randomSeed, o.Protocol)
 	options.StartedAt, options.FirstStart = time.Now(), settings.FirstStart
 	p.loop = newLoop(control.New(boottime.Now(), options), p.execute)
-	p.callerHandler = ingress.New(p.loop, o.HeaderCodec, p.client, ingress.NewMeter(p.metrics.Scope()))
+	p.callers = ingress.New(p.loop, o.HeaderCodec, p.client, ingress.NewMeter(p.metrics.Scope()))
 	if err := p.listenPeers(randomSeed); err != nil {
 		return err
 	}
@@ -122,13 +121,14 @@
 	p.wg.Go(func() { p.peers.Serve(p.ctx, p.handleMessage, recordReceiveError) })
 	p.wg.Go(p.readStore)
 	p.wg.Go(p.pollSettings)
-	p.wg.Go(func() { p.runPeriodically(idleCheckInterval, p.callerHandler.CloseIdle) })
+	p.wg.Go(func() { p.runPeriodically(idleCheckInterval, p.callers.CloseIdle) })
 	if s.Listen.Operator != "" {
 		p.wg.Go(func() { p.runPeriodically(gaugeReportInterval, p.reportGauges) })
 	}
-	p.callerServer = &http.Server{Handler: p.callerHandler, ReadHeaderTimeout: headerTimeout, ConnState: p.callerHandler.TrackConn}
+	if err := p.serveCallers(s.Listen.Callers); err != nil {
+		return err
+	}
 	for addr, srv := range map[string]*http.Server{
-		s.Listen.Callers:  p.callerServer,
 		s.Listen.Balancer: {Handler: p.balancerHandler(), ReadHeaderTimeout: headerTimeout},
 		s.Listen.Control:  {Handler: p.controlHandler(), ReadHeaderTimeout: headerTimeout},
 		s.Listen.Operator: {Handler: p.operatorHandler(), ReadHeaderTimeout: headerTimeout},
@@ -143,8 +143,7 @@
 	return p.awaitStop(ctx)
 }
 
-// headerTimeout limits the time to receive a request's header on all listeners. It is fixed: the
-// published header timeout is not enforced.
+// headerTimeout limits the time to receive a request's header on the listeners that are not for callers.
 const headerTimeout = 10 * time.Second
 
 // idleCheckInterval is the time between two checks for idle connections of callers.
@@ -159,10 +158,24 @@
 
 func (p *process) balancerHandler() http.Handler {
 	r := chi.NewRouter()
-	r.Get(p.opts.HeaderCodec.ReadyPath(), p.callerHandler.ServeReady)
+	r.Get(p.opts.HeaderCodec.ReadyPath(), p.callers.ServeReady)
 	return r
 }
 
+// serveCallers listens for callers.
+func (p *process) serveCallers(addr string) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "gateway: listen for callers")
+	}
+	go func() {
+		if err := p.callers.Serve(l.(*net.TCPListener)); err != nil { // the type of a listener for "tcp"
+			p.listenerErrs <- err
+		}
+	}()
+	return nil
+}
+
 func (p *process) serve(s *http.Server, addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -14,6 +14,9 @@
 	// balancerDrainDelay is how long the load balancer may still send new connections after the
 	// process has become unready: two readiness checks a second apart, and their latency.
 	balancerDrainDelay = 2500 * time.Millisecond
+	// idleDrainTime is how long after the stop signal a connection without a request may stay open for what its caller
+	// still sends, if its last answer announced that long.
+	idleDrainTime = 30 * time.Second
 	// stopReserve is the part of the grace period reserved for the exit of the process itself.
 	stopReserve = 600 * time.Millisecond
 )
@@ -22,7 +25,7 @@
 func (p *process) awaitStop(ctx context.Context) error {
 	select {
 	case err := <-p.listenerErrs:
-		p.callerHandler.End(ingress.EndProcess)
+		p.callers.Close(ingress.EndProcess)
 		return err
 	case <-ctx.Done():
 	}
@@ -37,14 +40,9 @@
 	began := time.Now()
 	grace := p.settings.Bounds.StopGracePeriod - stopReserve
 	event.LogFields(event.ProcessStopping, "grace_ms", grace.Milliseconds())
-	p.callerHandler.DisableKeepAlives()
+	p.callers.DisableKeepAlives()
 	p.loop.Do(func(s *control.State, now boottime.Instant) { s.Stop(now) })
 	time.Sleep(min(balancerDrainDelay, grace))
-	ctx, cancel := context.WithTimeout(context.Background(), grace-time.Since(began))
-	defer cancel()
-	cutOff := 0
-	if p.callerServer.Shutdown(ctx) != nil {
-		cutOff = p.callerHandler.End(ingress.EndGracePeriod)
-	}
+	cutOff := p.callers.Drain(began.Add(idleDrainTime), began.Add(grace))
 	event.LogFields(event.ProcessStopped, "took_ms", time.Since(began).Milliseconds(), "requests_cut_off", cutOff)
 }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -28,7 +28,7 @@
 // call is the state of one request of a caller.
 type call struct {
 	s         *Server
-	w         http.ResponseWriter
+	w         *answerWriter
 	r         *http.Request
 	arrivedAt time.Time
 
@@ -71,6 +71,7 @@
 	// The result if the event loop has ended.
 	c.admission = control.Admission{Reason: control.ReasonNoConfig, RetryAfter: endedRetryAfter}
 	c.s.control.Do(func(st *control.State, now boottime.Instant) {
+		c.s.callers.setIdleTimeout(st.Limits().IdleTimeout)
 		c.admission = st.Admit(now, control.AdmissionRequest{
 			Host:          c.r.Host,
 			Path:          c.r.URL.Path,
@@ -130,7 +131,7 @@
 	}
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w.ResponseWriter, c.r.Body, limit))
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
--- /dev/null
+++ b/internal/ingress/callers.go
@@ -0,0 +1,166 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/callerconn"
+	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/event"
+)
+
+const (
+	// headTimeout limits the time to receive a request's head. It is fixed: the published header timeout is not
+	// enforced.
+	headTimeout = 10 * time.Second
+	// maxHeadBytes limits the head of a request before the published limit is known; net/http allows 4 KiB more.
+	maxHeadBytes = 64 << 10
+	// lastAnswerTime is how long before the end of a planned stop all connections without a request are closed, so that
+	// requests that have arrived by then can still be answered.
+	lastAnswerTime = 300 * time.Millisecond
+)
+
+// callers is the server of the callers' connections.
+type callers struct {
+	http        *http.Server
+	listener    atomic.Pointer[callerconn.Listener]
+	idleTimeout atomic.Int64 // published, ns; 0 if unknown or none
+	stopping    atomic.Bool  // answers close their connections
+}
+
+func newCallers(h http.Handler) *callers {
+	return &callers{http: &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headTimeout,
+		MaxHeaderBytes:    maxHeadBytes,
+		ConnState:         callerconn.ConnState,
+		ConnContext:       callerconn.ConnContext,
+	}}
+}
+
+// Serve serves callers until Drain or Close is called, or returns the listener's error.
+func (s *Server) Serve(l *net.TCPListener) error {
+	listener := callerconn.NewListener(l)
+	s.callers.listener.Store(listener)
+	err := s.callers.http.Serve(listener)
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "ingress: serve callers")
+}
+
+// DisableKeepAlives makes the server send "Connection: close" with every answer whose head is sent from now on.
+func (s *Server) DisableKeepAlives() { s.callers.stopping.Store(true) }
+
+// CloseIdle closes the callers' connections without a request whose time is over: the longer of the published idle
+// timeout and the one that their last answer announced, plus callerconn.Margin.
+func (s *Server) CloseIdle() {
+	s.control.Do(func(st *control.State, _ boottime.Instant) { s.callers.setIdleTimeout(st.Limits().IdleTimeout) })
+	l := s.callers.listener.Load()
+	if l == nil {
+		return
+	}
+	l.Sweep(callerconn.Idle, s.callers.publishedIdleTimeout())
+	s.recordClosed(l, callerconn.Idle, EndIdle)
+}
+
+// recordClosed records the connections without a request that have been closed since the last call.
+func (s *Server) recordClosed(l *callerconn.Listener, why callerconn.Reason, cause EndCause) {
+	n := l.Closed(why)
+	if n == 0 {
+		return
+	}
+	event.LogFields(event.CallersClosed, "cause", cause, "connections", n, "limit_ms", s.callers.publishedIdleTimeout().Milliseconds())
+	s.meter.callersEnded(cause, n)
+}
+
+// Drain completes a planned stop. It accepts no more connections, closes those without a request as what their last
+// answers announced passes, but all of them from idleEnd on, and returns once none is left or end has come. It returns
+// the number of requests that were cut off.
+func (s *Server) Drain(idleEnd, end time.Time) int {
+	l := s.callers.listener.Load()
+	if l == nil {
+		return 0
+	}
+	if last := end.Add(-lastAnswerTime); last.Before(idleEnd) {
+		idleEnd = last
+	}
+	open := l.Drain(s.callers.publishedIdleTimeout(), idleEnd, end)
+	s.recordClosed(l, callerconn.PlannedStop, EndPlannedStop)
+	s.recordClosed(l, callerconn.GraceEnd, EndGracePeriod)
+	if open == 0 {
+		return 0
+	}
+	return s.Close(EndGracePeriod)
+}
+
+// Close closes the connections of all callers for the given cause and returns the number of requests that it cuts off.
+func (s *Server) Close(cause EndCause) int {
+	s.ending.Store(uint32(cause))
+	n := int(s.inProgress.Load())
+	if n > 0 {
+		event.LogFields(event.CallersClosed, "cause", cause, "connections", n, "limit_ms", 0)
+	}
+	_ = s.callers.http.Close() // fails only if the listener is closed already
+	return n
+}
+
+// endCause returns why the connection of a request in progress has ended.
+func (s *Server) endCause() EndCause {
+	if cause := EndCause(s.ending.Load()); cause != 0 {
+		return cause
+	}
+	return EndCallerLeft
+}
+
+func (c *callers) setIdleTimeout(d time.Duration) { c.idleTimeout.Store(int64(d)) }
+
+func (c *callers) publishedIdleTimeout() time.Duration { return time.Duration(c.idleTimeout.Load()) }
+
+// answerWriter announces with each answer what becomes of its connection.
+type answerWriter struct {
+	http.ResponseWriter
+	r       *http.Request
+	callers *callers
+	sent    bool // the head was sent
+}
+
+// Unwrap is used by http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	if !w.sent && status >= http.StatusOK {
+		w.sent = true
+		w.announce()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	if !w.sent {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// announce sets the header that tells how long the connection is kept: Keep-Alive with whole seconds, or "Connection:
+// close".
+func (w *answerWriter) announce() {
+	if w.callers.stopping.Load() {
+		w.Header().Set("Connection", "close")
+		return
+	}
+	timeout := w.callers.publishedIdleTimeout().Truncate(time.Second)
+	callerconn.Announce(w.r.Context(), timeout)
+	if timeout > 0 && !w.r.Close {
+		w.Header().Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(timeout/time.Second), 10))
+	}
+}
--- a/internal/ingress/endings.go
+++ b/internal/ingress/endings.go
@@ -23,6 +23,7 @@
 	EndOriginUnknown                     // no endpoint is known to be at the version at which a stream began
 	EndInternalError                     // a fault of this program
 	EndIdle                              // no request for longer than the idle timeout
+	EndPlannedStop                       // a planned stop, and the time that the last answer announced is over
 	EndGracePeriod                       // the grace period of a planned stop is over
 	EndProcess                           // the process ends without a planned stop
 )
@@ -46,6 +47,8 @@
 		return "internal_error"
 	case EndIdle:
 		return "idle"
+	case EndPlannedStop:
+		return "planned_stop"
 	case EndGracePeriod:
 		return "grace_period"
 	case EndProcess:
@@ -93,7 +96,7 @@
 	}
 	event.LogFields(event.HandlerPanicked, "request", c.meta.ID, "cause", EndInternalError, "panic", fmt.Sprint(fault), "stack", firstLines(debug.Stack(), stackLines))
 	c.s.meter.requestEnded(c, "internal_error")
-	if c.response.started {
+	if c.w.sent {
 		c.cut(EndInternalError)
 	}
 	c.respondInternalError()
@@ -101,12 +104,7 @@
 
 // respondInternalError sends a 500 without the headers of an endpoint's response.
 func (c *call) respondInternalError() {
-	h := c.w.Header()
-	closes := h.Get("Connection")
-	clear(h)
-	if closes != "" {
-		h.Set("Connection", closes)
-	}
+	clear(c.w.Header())
 	http.Error(c.w, "a fault of the gateway", http.StatusInternalServerError)
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -1,14 +1,12 @@
 package ingress
 
 import (
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
-	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/exchange"
 )
 
@@ -22,62 +20,22 @@
 
 // Server is the HTTP handler for callers.
 type Server struct {
-	control            Control
-	codec              HeaderCodec
-	client             *exchange.Client
-	meter              *Meter
-	idle               idleConns
-	keepAlivesDisabled atomic.Bool
-	inProgress         atomic.Int64  // requests
-	ending             atomic.Uint32 // EndCause of requests that are still in progress, 0 while the process goes on
+	control    Control
+	codec      HeaderCodec
+	client     *exchange.Client
+	meter      *Meter
+	callers    *callers
+	inProgress atomic.Int64  // requests
+	ending     atomic.Uint32 // EndCause of requests that are still in progress, 0 while the process goes on
 }
 
 // New returns a server that sends requests to endpoints with the given client.
 func New(c Control, codec HeaderCodec, client *exchange.Client, meter *Meter) *Server {
-	return &Server{control: c, codec: codec, client: client, meter: meter}
+	s := &Server{control: c, codec: codec, client: client, meter: meter}
+	s.callers = newCallers(s)
+	return s
 }
 
-// TrackConn records which connections are idle, for CloseIdle. It must be set as the ConnState
-// hook of the http.Server that runs this server.
-func (s *Server) TrackConn(c net.Conn, st http.ConnState) { s.idle.track(c, st) }
-
-// CloseIdle closes the callers' connections that have been idle for longer than the published
-// idle timeout plus idleMargin.
-func (s *Server) CloseIdle() {
-	var limit time.Duration
-	s.control.Do(func(st *control.State, _ boottime.Instant) { limit = st.Limits().IdleTimeout })
-	if limit <= 0 {
-		return
-	}
-	if n := s.idle.closeOlder(limit); n > 0 {
-		event.LogFields(event.CallersClosed, "cause", EndIdle, "connections", n, "limit_ms", limit.Milliseconds())
-		s.meter.callersEnded(EndIdle, n)
-	}
-}
-
-// End records that the process ends for the given cause, and with it the connections of the requests in progress.
-// It returns their number.
-func (s *Server) End(cause EndCause) int {
-	s.ending.Store(uint32(cause))
-	n := int(s.inProgress.Load())
-	if n > 0 {
-		event.LogFields(event.CallersClosed, "cause", cause, "connections", n, "limit_ms", 0)
-	}
-	return n
-}
-
-// endCause returns why the connection of a request in progress has ended.
-func (s *Server) endCause() EndCause {
-	if cause := EndCause(s.ending.Load()); cause != 0 {
-		return cause
-	}
-	return EndCallerLeft
-}
-
-// DisableKeepAlives makes the server send "Connection: close" with the response to every request
-// that arrives from now on.
-func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
-
 // ServeReady serves the load balancer's readiness check.
 func (s *Server) ServeReady(w http.ResponseWriter, _ *http.Request) {
 	ready := false
@@ -89,10 +47,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.keepAlivesDisabled.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	c := &call{s: s, w: w, r: r, arrivedAt: time.Now()}
+	c := &call{s: s, w: &answerWriter{ResponseWriter: w, r: r, callers: s.callers}, r: r, arrivedAt: time.Now()}
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
 	defer c.recoverPanic()
