ingress: an answer does not wait for a body that is not needed

A caller that was rejected or refused before its body was read, or whose body did not arrive in time, got no answer until the rest of the body arrived: for ever, if it never did. net/http reads up to 256 KiB of an unread body before it sends the head of an answer, and had no deadline for it.

The head of an answer now sets one: a second for a body that was not waited for, none for a body that is late already. The connection closes after such an answer, and is kept as before if the body arrived.

--- /dev/null
+++ b/internal/ingress/answerwriter.go
@@ -0,0 +1,72 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/callerconn"
+)
+
+// unreadBodyTimeout limits how long an answer is held back for the rest of a body that is not needed. net/http reads up
+// to 256 KiB of it before the answer, so that the connection can be kept.
+const unreadBodyTimeout = time.Second
+
+// answerWriter announces with each answer what becomes of its connection.
+type answerWriter struct {
+	http.ResponseWriter
+	r        *http.Request
+	callers  *callers
+	sent     bool // the head was sent
+	bodyRead bool // the request's body was read to its end
+	bodyLate bool // the time for the request's body is over
+}
+
+// Unwrap is used by http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	if !w.sent && status >= http.StatusOK {
+		w.sent = true
+		w.announce()
+		w.limitUnreadBody()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	if !w.sent {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// announce sets the header that tells how long the connection is kept: Keep-Alive with whole seconds, or "Connection:
+// close".
+func (w *answerWriter) announce() {
+	if w.callers.stopping.Load() {
+		w.Header().Set("Connection", "close")
+		return
+	}
+	timeout := w.callers.publishedIdleTimeout().Truncate(time.Second)
+	callerconn.Announce(w.r.Context(), timeout)
+	if timeout > 0 && !w.r.Close {
+		w.Header().Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(timeout/time.Second), 10))
+	}
+}
+
+// limitUnreadBody limits the time that net/http waits for the rest of the request's body. The deadline is removed by
+// net/http when it reads the end of the body, and otherwise the connection closes after the answer.
+func (w *answerWriter) limitUnreadBody() {
+	if w.bodyRead || w.r.ContentLength == 0 {
+		return
+	}
+	deadline := time.Now()
+	if !w.bodyLate {
+		deadline = deadline.Add(unreadBodyTimeout)
+	}
+	// Without support for deadlines the answer may be late, but not lost.
+	_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(deadline)
+}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -139,13 +139,14 @@
 		c.reject(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
 		return false
 	case err != nil && !time.Now().Before(c.deadline):
+		c.w.bodyLate = true
 		c.reject(http.StatusRequestTimeout, "the body did not arrive in time")
 		return false
 	case err != nil:
 		c.reject(http.StatusBadRequest, "the body cannot be read")
 		return false
 	}
-	c.body = body
+	c.body, c.w.bodyRead = body, true
 	return true
 }
 
--- a/internal/ingress/callers.go
+++ b/internal/ingress/callers.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -122,45 +121,3 @@
 func (c *callers) setIdleTimeout(d time.Duration) { c.idleTimeout.Store(int64(d)) }
 
 func (c *callers) publishedIdleTimeout() time.Duration { return time.Duration(c.idleTimeout.Load()) }
-
-// answerWriter announces with each answer what becomes of its connection.
-type answerWriter struct {
-	http.ResponseWriter
-	r       *http.Request
-	callers *callers
-	sent    bool // the head was sent
-}
-
-// Unwrap is used by http.ResponseController.
-func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// WriteHeader implements http.ResponseWriter.
-func (w *answerWriter) WriteHeader(status int) {
-	if !w.sent && status >= http.StatusOK {
-		w.sent = true
-		w.announce()
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (w *answerWriter) Write(p []byte) (int, error) {
-	if !w.sent {
-		w.WriteHeader(http.StatusOK)
-	}
-	return w.ResponseWriter.Write(p)
-}
-
-// announce sets the header that tells how long the connection is kept: Keep-Alive with whole seconds, or "Connection:
-// close".
-func (w *answerWriter) announce() {
-	if w.callers.stopping.Load() {
-		w.Header().Set("Connection", "close")
-		return
-	}
-	timeout := w.callers.publishedIdleTimeout().Truncate(time.Second)
-	callerconn.Announce(w.r.Context(), timeout)
-	if timeout > 0 && !w.r.Close {
-		w.Header().Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(timeout/time.Second), 10))
-	}
-}
--- a/internal/ingress/closing_test.go
+++ b/internal/ingress/closing_test.go
@@ -38,7 +38,8 @@
 // callerConn is a caller's connection that is kept between requests.
 type callerConn struct {
 	net.Conn
-	r *bufio.Reader
+	r      *bufio.Reader
+	closes bool // the last answer carried "Connection: close"
 }
 
 func (ts *testServer) dial() *callerConn {
@@ -81,6 +82,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	c.closes = resp.Close
 	if _, err := io.ReadAll(resp.Body); err != nil {
 		return 0, nil, err
 	}
