ingress: a request's own deadline is no evidence against an endpoint

A request whose deadline passed before or while its attempt connected counted the endpoint as unreachable: the dialer reports the request's deadline as a timeout, too. Sound endpoints were marked down, further requests were refused with no_endpoint, and begun streams at these endpoints were cancelled as unreachable. Requests with little time left, as after a shorter timeout was published or a pause of the process, were enough.

Such an attempt is now cancelled, as it is when the deadline passes later.

TestExpiredRequestsDoNotMarkEndpointsDown printed on the old code, with three sound endpoints: a request whose deadline has passed: status 503, want 504 (three of six); the next request: status 503, want 200.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -70,10 +70,10 @@
 		return control.ConnectTimedOut
 	case errors.Is(cause, errResponseOverdue):
 		return control.ResponseOverdue
+	case cause != nil: // before the connection's result: the deadline of the request ends an attempt to connect, too
+		return control.Cancelled
 	case connectFailed && exchangeErr.Timeout():
 		return control.ConnectTimedOut
-	case cause != nil:
-		return control.Cancelled
 	case connectFailed:
 		return control.ConnectionRefused
 	default:
--- a/internal/ingress/endings_test.go
+++ b/internal/ingress/endings_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
@@ -69,3 +70,31 @@
 		}
 	}
 }
+
+// slowControl is a Control that is held up before each call.
+type slowControl struct {
+	next  Control
+	delay time.Duration
+}
+
+// Do implements Control.
+func (c *slowControl) Do(f func(*control.State, boottime.Instant)) {
+	time.Sleep(c.delay)
+	c.next.Do(f)
+}
+
+// TestExpiredRequestsDoNotMarkEndpointsDown guards against endpoints that count as unreachable because a request's own
+// deadline ended the connection attempt.
+func TestExpiredRequestsDoNotMarkEndpointsDown(t *testing.T) {
+	ts := startTestServer(t, func(_ int, c net.Conn, _ *http.Request) { writeCompleteResponse(c, "good") })
+	slow := &slowControl{next: ts.control, delay: 3 * time.Millisecond}
+	ts.server.control = slow
+	for range 6 { // twice the number of endpoints
+		if got := ts.send("POST", "idempotent", "", "X-Wait-Ms", "1"); got.status != http.StatusGatewayTimeout {
+			t.Errorf("a request whose deadline has passed: status %d, error %v, want 504", got.status, got.err)
+		}
+	}
+	if got := ts.send("POST", "idempotent", ""); got.status != http.StatusOK {
+		t.Errorf("the next request: status %d, error %v, want 200", got.status, got.err)
+	}
+}
