ingress: no read deadline for a request without a body

A request without a body whose deadline had passed when its body was to be read could end with a closed connection instead of a 504: net/http already reads from the connection of such a request, to notice that the caller leaves, and takes the deadline for that.

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -121,6 +121,9 @@
 
 // readBody reads the whole request body. It returns false if it has rejected the request.
 func (c *call) readBody() bool {
+	if c.r.ContentLength == 0 {
+		return true // net/http reads from the connection already: a deadline would look like the caller's leaving
+	}
 	limit := c.admission.BodyLimit
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
--- a/internal/ingress/endings_test.go
+++ b/internal/ingress/endings_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -98,3 +99,46 @@
 		t.Errorf("the next request: status %d, error %v, want 200", got.status, got.err)
 	}
 }
+
+// TestDeadlineBeforeTheBodyIsAnswered guards against a deadline that passes before the body is read and ends the
+// caller's connection, as if the caller had left.
+func TestDeadlineBeforeTheBodyIsAnswered(t *testing.T) {
+	ts := startTestServer(t, func(_ int, c net.Conn, _ *http.Request) { writeCompleteResponse(c, "good") })
+	ts.server.control = &slowControl{next: ts.control, delay: 2 * time.Millisecond}
+	for _, body := range []string{"", "body"} {
+		for range 30 {
+			if got := ts.send("POST", "idempotent", body, "X-Wait-Ms", "1"); got.status != http.StatusGatewayTimeout {
+				t.Errorf("body %q: status %d, error %v, want 504", body, got.status, got.err)
+			}
+		}
+	}
+}
+
+// deadlineRecorder records the read deadlines that a handler sets.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines int
+}
+
+// SetReadDeadline is used by http.ResponseController.
+func (d *deadlineRecorder) SetReadDeadline(time.Time) error {
+	d.deadlines++
+	return nil
+}
+
+// TestRequestWithoutBodyHasNoReadDeadline guards against a deadline that net/http takes for the caller's leaving: it
+// reads already from the connection of a request without a body.
+func TestRequestWithoutBodyHasNoReadDeadline(t *testing.T) {
+	ts := startTestServer(t, func(_ int, c net.Conn, _ *http.Request) { writeCompleteResponse(c, "good") })
+	for _, path := range []string{"/idempotent/x", "/nowhere/x"} {
+		r := httptest.NewRequest("GET", path, nil)
+		r.Host = "h"
+		r.Header.Set("X-Id", "id-1")
+		r.Header.Set("X-Key", "key")
+		w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+		ts.server.ServeHTTP(w, r)
+		if w.deadlines != 0 {
+			t.Errorf("%s: status %d, %d read deadlines were set", path, w.Code, w.deadlines)
+		}
+	}
+}
