ingress: a request that this process cuts off does not count as left by its caller

The connections that the end of a process closes ended their requests as caller_left, in the log and in the metrics. They now end as grace_period or process_end. A test checks the counted cause of each way to end a begun stream.

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -182,9 +182,7 @@
 // reports whether it did.
 func (c *call) endIfDone(ctx context.Context) bool {
 	if c.r.Context().Err() != nil || c.response.callerDisconnected {
-		event.LogFields(event.CallerLeft, "request", c.meta.ID, "after_ms", c.elapsed(), "attempts", c.attempts.count)
-		c.s.meter.requestEnded(c, "caller_left")
-		c.cut(c.s.endCause())
+		c.endDisconnected()
 	}
 	if ctx.Err() == nil {
 		return false
--- a/internal/ingress/endings.go
+++ b/internal/ingress/endings.go
@@ -81,6 +81,16 @@
 	panic(http.ErrAbortHandler)
 }
 
+// endDisconnected ends a request whose connection has ended. It does not return.
+func (c *call) endDisconnected() {
+	cause := c.s.endCause()
+	if cause == EndCallerLeft {
+		event.LogFields(event.CallerLeft, "request", c.meta.ID, "after_ms", c.elapsed(), "attempts", c.attempts.count)
+	}
+	c.s.meter.requestEnded(c, cause.String())
+	c.cut(cause)
+}
+
 // stackLines is the number of lines of a panic's stack that are logged.
 const stackLines = 24
 
--- a/internal/ingress/endings_test.go
+++ b/internal/ingress/endings_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 )
@@ -72,6 +74,48 @@
 	}
 }
 
+// TestEndsAreCountedByCause checks the cause under which each way to end a caller's connection is counted.
+func TestEndsAreCountedByCause(t *testing.T) {
+	for name, tc := range map[string]struct {
+		end    func(ts *testServer, caller, endpoint net.Conn) // once a stream has begun
+		header string
+		cause  EndCause
+	}{
+		"the caller leaves":           {func(_ *testServer, caller, _ net.Conn) { _ = caller.Close() }, "", EndCallerLeft},
+		"the endpoint breaks off":     {func(_ *testServer, _, endpoint net.Conn) { resetConn(endpoint) }, "", EndEndpointBroke},
+		"the deadline passes":         {func(*testServer, net.Conn, net.Conn) {}, "X-Wait-Ms: 200\r\n", EndDeadline},
+		"the grace period ends":       {func(ts *testServer, _, _ net.Conn) { ts.server.Drain(time.Now(), time.Now()) }, "", EndGracePeriod},
+		"the process ends by a fault": {func(ts *testServer, _, _ net.Conn) { ts.server.Close(EndProcess) }, "", EndProcess},
+	} {
+		t.Run(name, func(t *testing.T) {
+			endpoints, ended := make(chan net.Conn, 1), make(chan struct{})
+			defer close(ended)
+			ts := startTestServer(t, func(_ int, c net.Conn, _ *http.Request) {
+				writeStreamHead(c)
+				writeEvents(c, 1, 1)
+				endpoints <- c
+				<-ended
+			})
+			scope := tally.NewTestScope("", nil)
+			ts.server.meter = NewMeter(scope)
+			caller := ts.dial()
+			caller.send(t, rawHead("stream", 0, tc.header))
+			if _, err := caller.r.ReadString('\n'); err != nil {
+				t.Fatal(err)
+			}
+			tc.end(ts, caller.Conn, <-endpoints)
+			want := "gateway.callers_ended+cause=" + tc.cause.String()
+			deadline := time.Now().Add(5 * time.Second)
+			for time.Now().Before(deadline) && scope.Snapshot().Counters()[want] == nil {
+				time.Sleep(time.Millisecond)
+			}
+			if got := scope.Snapshot().Counters()[want]; got == nil || got.Value() != 1 {
+				t.Errorf("counters %v, want one %s", scope.Snapshot().Counters(), want)
+			}
+		})
+	}
+}
+
 // slowControl is a Control that is held up before each call.
 type slowControl struct {
 	next  Control
