--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -14,6 +14,12 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// net/http uses both where a connection has them.
+var _ interface {
+	io.ReaderFrom
+	CloseWrite() error
+} = (*Conn)(nil)
+
 const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 // announced is what the answers of a test server announce.
