--- a/internal/ingress/early_test.go
+++ b/internal/ingress/early_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -84,3 +85,20 @@
 	c.send(t, rawRequest("idempotent", "body"))
 	c.answerIn(t, 5*time.Second, http.StatusOK)
 }
+
+// TestStreamOutlivesTheLimitForUnreadBodies guards against a deadline for unread bodies that ends the stream of a request
+// whose body was read.
+func TestStreamOutlivesTheLimitForUnreadBodies(t *testing.T) {
+	ts := startTestServer(t, func(_ int, c net.Conn, _ *http.Request) {
+		writeStreamHead(c)
+		writeEvents(c, 1, 1)
+		time.Sleep(unreadBodyTimeout + 300*time.Millisecond)
+		writeEvents(c, 2, 2)
+		endChunkedBody(c)
+	})
+	for _, body := range []string{"", "body"} {
+		if got := ts.send("POST", "stream", body); got.err != nil || got.body != eventsText(1, 2) {
+			t.Errorf("request body %q: stream %q, error %v", body, got.body, got.err)
+		}
+	}
+}
