--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -28,7 +28,7 @@
 // call is the state of one request of a caller.
 type call struct {
 	s         *Server
-	w         http.ResponseWriter
+	w         *answerWriter
 	r         *http.Request
 	arrivedAt time.Time
 
@@ -72,6 +72,7 @@
 	// The result if the event loop has ended.
 	c.admission = control.Admission{Reason: control.ReasonNoConfig, RetryAfter: endedRetryAfter}
 	c.s.control.Do(func(st *control.State, now boottime.Instant) {
+		c.s.callers.setIdleTimeout(st.Limits().IdleTimeout)
 		c.admission = st.Admit(now, control.AdmissionRequest{
 			Host:          c.r.Host,
 			Path:          c.r.URL.Path,
@@ -121,6 +122,9 @@
 
 // readBody reads the whole request body. It returns false if it has rejected the request.
 func (c *call) readBody() bool {
+	if c.r.ContentLength == 0 {
+		return true // net/http reads from the connection already: a deadline would look like the caller's leaving
+	}
 	limit := c.admission.BodyLimit
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -135,7 +139,7 @@
 	// It must not be set without a body: net/http reads ahead then, and takes a failed read for the caller's leaving.
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w.ResponseWriter, c.r.Body, limit))
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -143,13 +147,14 @@
 		c.reject(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
 		return false
 	case err != nil && !time.Now().Before(c.deadline):
+		c.w.bodyLate = true
 		c.reject(http.StatusRequestTimeout, "the body did not arrive in time")
 		return false
 	case err != nil:
 		c.reject(http.StatusBadRequest, "the body cannot be read")
 		return false
 	}
-	c.body = body
+	c.body, c.w.bodyRead = body, true
 	return true
 }
 
@@ -177,9 +182,7 @@
 // reports whether it did.
 func (c *call) endIfDone(ctx context.Context) bool {
 	if c.r.Context().Err() != nil || c.response.callerDisconnected {
-		event.LogFields(event.CallerLeft, "request", c.meta.ID, "after_ms", c.elapsed(), "attempts", c.attempts.count)
-		c.s.meter.requestEnded(c, "caller_left")
-		panic(http.ErrAbortHandler)
+		c.endDisconnected()
 	}
 	if ctx.Err() == nil {
 		return false
--- a/internal/ingress/fake_test.go
+++ b/internal/ingress/fake_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -154,11 +153,19 @@
 	reg := metrics.New()
 	t.Cleanup(func() { _ = reg.Close() })
 	ts.server = New(ts.control, testHeaderCodec{}, exchange.NewClient(time.Second), NewMeter(reg.Scope()))
-	srv := httptest.NewUnstartedServer(ts.server)
-	srv.Config.ConnState = ts.server.TrackConn
-	srv.Start()
-	t.Cleanup(srv.Close)
-	ts.url = srv.URL
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan error, 1)
+	go func() { served <- ts.server.Serve(l.(*net.TCPListener)) }()
+	t.Cleanup(func() {
+		ts.server.Close(EndProcess)
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	ts.url = "http://" + l.Addr().String()
 	return ts
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -21,37 +20,22 @@
 
 // Server is the HTTP handler for callers.
 type Server struct {
-	control            Control
-	codec              HeaderCodec
-	client             *exchange.Client
-	meter              *Meter
-	idle               idleConns
-	keepAlivesDisabled atomic.Bool
+	control    Control
+	codec      HeaderCodec
+	client     *exchange.Client
+	meter      *Meter
+	callers    *callers
+	inProgress atomic.Int64  // requests
+	ending     atomic.Uint32 // EndCause of requests that are still in progress, 0 while the process goes on
 }
 
 // New returns a server that sends requests to endpoints with the given client.
 func New(c Control, codec HeaderCodec, client *exchange.Client, meter *Meter) *Server {
-	return &Server{control: c, codec: codec, client: client, meter: meter}
+	s := &Server{control: c, codec: codec, client: client, meter: meter}
+	s.callers = newCallers(s)
+	return s
 }
 
-// TrackConn records which connections are idle, for CloseIdle. It must be set as the ConnState
-// hook of the http.Server that runs this server.
-func (s *Server) TrackConn(c net.Conn, st http.ConnState) { s.idle.track(c, st) }
-
-// CloseIdle closes the callers' connections that have been idle for longer than the published
-// idle timeout plus idleMargin.
-func (s *Server) CloseIdle() {
-	var limit time.Duration
-	s.control.Do(func(st *control.State, _ boottime.Instant) { limit = st.Limits().IdleTimeout })
-	if limit > 0 {
-		s.idle.closeOlder(limit)
-	}
-}
-
-// DisableKeepAlives makes the server send "Connection: close" with the response to every request
-// that arrives from now on.
-func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
-
 // ServeReady serves the load balancer's readiness check.
 func (s *Server) ServeReady(w http.ResponseWriter, _ *http.Request) {
 	ready := false
@@ -63,9 +47,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.keepAlivesDisabled.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	c := &call{s: s, w: w, r: r, arrivedAt: time.Now()}
+	c := &call{s: s, w: &answerWriter{ResponseWriter: w, r: r, callers: s.callers}, r: r, arrivedAt: time.Now()}
+	s.inProgress.Add(1)
+	defer s.inProgress.Add(-1)
+	defer c.recoverPanic()
 	c.serve()
 }
