ingress: a request goes back to an endpoint that was only silent

A stream was cut, or an idempotent request ended with 502, if its first attempt was given up for its endpoint's silence and the second one broke, or was refused by the only other endpoint: the route's max_attempts, or the lack of an untried endpoint, ruled out a third one.

max_attempts limits the endpoints at which a request may run, not its runs. If no other endpoint can take the request, it now goes back once to one whose attempt was given up for silence, within the retry budget and maxTotalAttempts. Two attempts at the same time would keep the first one as well, but a stream must not go on at another endpoint while the one before still works on it.

--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -56,6 +56,7 @@
 	Service  fleet.ServiceID
 	Affinity uint64             // hash of the prompt's shared prefix; 0: none
 	Tried    []fleet.EndpointID // endpoints that already had an attempt; they are not eligible
+	Among    []fleet.EndpointID // if set, only these endpoints are eligible
 	Version  origin.Version     // the only version at which the request may run; 0: any
 	Stream   fleet.RequestID    // if set, the request goes on with this stream, of which this process has forwarded events
 
@@ -180,6 +181,7 @@
 		switch {
 		case !s.usable(now, e):
 		case req.Version != 0 && e.version != req.Version:
+		case len(req.Among) > 0 && !slices.Contains(req.Among, e.ID):
 		case now.Before(e.noRequestsUntil):
 			c.pause = shorter(c.pause, e.noRequestsUntil.Sub(now))
 		case slices.Contains(req.Tried, e.ID):
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -22,6 +22,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	d := a.runWatched(ctx, cancel)
+	if c.reserved != nil {
+		c.attempts.givenUp = append(c.attempts.givenUp, placed.Endpoint)
+	}
 	a.end(ctx, d)
 	return d
 }
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
 
@@ -22,6 +23,7 @@
 	mayHaveRunCount int                   // attempts in which the request may have run
 	lastMaybeSent   bool                  // delivery.maybeSent of the last attempt
 	lastResult      control.AttemptResult // of the last attempt
+	givenUp         []fleet.EndpointID    // endpoints whose attempts were given up for their silence
 }
 
 func (a *attemptHistory) add(d delivery) {
@@ -49,3 +51,11 @@
 		return control.ReasonNone
 	}
 }
+
+// takeGivenUp returns the endpoints at which the request may run once more although it may have run at MaxAttempts
+// endpoints: those that were only silent. It returns them once. MaxAttempts limits the number of endpoints, not of runs.
+func (a *attemptHistory) takeGivenUp() []fleet.EndpointID {
+	out := a.givenUp
+	a.givenUp = nil
+	return out
+}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -153,7 +153,7 @@
 // further attempt is allowed.
 func (c *call) run(ctx context.Context) {
 	defer c.releaseReserved()
-	p := c.place()
+	p := c.place(c.placementRequest(false))
 	for p.Reason == control.ReasonNone {
 		d := c.runAttempt(ctx, p.Attempt)
 		c.attempts.add(d)
@@ -185,19 +185,36 @@
 }
 
 // placeRetry places the attempt after one without a complete response: the reserved one, or a new one if the route
-// and the retry budget allow it.
+// and the retry budget allow it. If no other endpoint can take the request, it goes back to one that was given up for
+// its silence.
 func (c *call) placeRetry() control.Placement {
-	p := control.Placement{}
 	if c.reserved != nil {
-		p.Attempt, c.reserved = c.reserved.Attempt, nil
-	} else if reason := c.reserveRetry(); reason != control.ReasonNone {
-		return control.Placement{Reason: reason, RetryAfter: c.retryAfter()}
+		p := control.Placement{Attempt: c.reserved.Attempt}
+		c.reserved = nil
+		c.logRetry()
+		return p
 	}
-	event.LogFields(event.AttemptRetried, "request", c.meta.ID, "sends", c.attempts.count, "may_have_run", c.attempts.mayHaveRunCount, "left_ms", time.Until(c.deadline).Milliseconds())
-	if p.Attempt == nil {
-		p = c.place()
+	denied := c.attempts.retryDenied(c.admission.Route)
+	mayReturn := len(c.attempts.givenUp) > 0
+	if denied != control.ReasonNone && !(mayReturn && denied == control.ReasonMayHaveRun) {
+		return control.Placement{Reason: denied, RetryAfter: c.retryAfter()}
 	}
-	return p
+	if !c.allowRetry() {
+		return control.Placement{Reason: control.ReasonRetryBudget, RetryAfter: c.retryAfter()}
+	}
+	c.logRetry()
+	req := c.placementRequest(c.response.events > 0)
+	if denied == control.ReasonNone {
+		if p := c.place(req); p.Reason == control.ReasonNone || !mayReturn {
+			return p
+		}
+	}
+	req.Tried, req.Among = nil, c.attempts.takeGivenUp()
+	return c.place(req)
+}
+
+func (c *call) logRetry() {
+	event.LogFields(event.AttemptRetried, "request", c.meta.ID, "sends", c.attempts.count, "may_have_run", c.attempts.mayHaveRunCount, "left_ms", time.Until(c.deadline).Milliseconds())
 }
 
 // releaseReserved returns a reservation that the request has not used.
@@ -207,31 +224,22 @@
 	}
 }
 
-// reserveRetry takes a retry from the service's retry budget and returns ReasonNone, or the
-// reason that rules out another attempt. A retry needs no budget if no byte of the last attempt
-// can have reached an endpoint.
-func (c *call) reserveRetry() control.Reason {
-	if r := c.attempts.retryDenied(c.admission.Route); r != control.ReasonNone {
-		return r
-	}
+// allowRetry takes a retry from the service's retry budget and reports whether there was one. A retry needs no budget
+// if no byte of the last attempt can have reached an endpoint.
+func (c *call) allowRetry() bool {
 	allowed := true
 	if c.attempts.lastMaybeSent {
 		c.s.control.Do(func(st *control.State, now boottime.Instant) {
 			allowed = st.AllowRetry(now, c.admission.Service, c.attempts.lastResult)
 		})
 	}
-	if !allowed {
-		return control.ReasonRetryBudget
-	}
-	return control.ReasonNone
+	return allowed
 }
 
-func (c *call) place() control.Placement {
+func (c *call) place(req control.PlacementRequest) control.Placement {
 	// The result if the event loop has ended.
 	p := control.Placement{Reason: control.ReasonNoEndpoint, RetryAfter: endedRetryAfter}
-	c.s.control.Do(func(st *control.State, now boottime.Instant) {
-		p = st.Place(now, c.placementRequest(c.response.events > 0))
-	})
+	c.s.control.Do(func(st *control.State, now boottime.Instant) { p = st.Place(now, req) })
 	return p
 }
 
