ingress: a request that was given up for silence waits for the next endpoint

Callers lost responses whose first attempt was given up for its endpoint's silence and whose second one was refused, if in that moment the retry budget was used up, or a configuration had emptied the service: 502 "retry_budget" or "no_endpoint", streams cut.

A request with an endpoint's own failure to respond with doesn't wait. A retry is counted against the budget in the same call that places it, and only if an endpoint is eligible, so that waiting takes no budget from others.

--- a/internal/control/budget.go
+++ b/internal/control/budget.go
@@ -46,6 +46,15 @@
 	return s.retryWindow(service).AllowRetry(now, ratio, extra)
 }
 
+// PlaceRetry is Place for a request whose last attempt ended with the given result. The retry is counted against the
+// budget if an endpoint is eligible; ReasonRetryBudget means that the budget does not allow it.
+func (s *State) PlaceRetry(now boottime.Instant, req PlacementRequest, lastResult AttemptResult) Placement {
+	if c := s.classify(now, s.atStreamVersion(now, req)); len(c.eligible) > 0 && !s.AllowRetry(now, req.Service, lastResult) {
+		return Placement{Reason: ReasonRetryBudget}
+	}
+	return s.Place(now, req)
+}
+
 // localRetryBudget returns the budget of this process: the ratio of retries to requests, and
 // its part of the fleet's constant allowance beyond that ratio.
 func (s *State) localRetryBudget() (ratio, extra float64) {
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -39,17 +39,11 @@
 	if result == 0 || len(s.classify(now, s.atStreamVersion(now, a.Retry)).eligible) == 0 {
 		return nil
 	}
-	ratio, extra := s.localRetryBudget()
-	window := s.retryWindow(a.Retry.Service)
-	if !window.WouldAllowRetry(now, ratio, extra) {
-		return nil
-	}
-	p := s.Place(now, a.Retry)
+	p := s.PlaceRetry(now, a.Retry, result)
 	if p.Reason != ReasonNone {
 		return nil
 	}
-	window.AllowRetry(now, ratio, extra)
-	return &Reservation{Attempt: p.Attempt, Result: result, window: window, reservedAt: now}
+	return &Reservation{Attempt: p.Attempt, Result: result, window: s.retryWindow(a.Retry.Service), reservedAt: now}
 }
 
 // NoteEvent records that an event of the attempt's stream has arrived. It is safe for concurrent use with the State.
--- a/internal/control/reserve_test.go
+++ b/internal/control/reserve_test.go
@@ -187,3 +187,20 @@
 		}
 	}
 }
+
+// TestRetryWithoutAnEndpointUsesNoBudget guards against using up the retry budget for retries that are not made.
+func TestRetryWithoutAnEndpointUsesNoBudget(t *testing.T) {
+	w, st := oneGateway(t, 1, 2)
+	tried := control.PlacementRequest{Service: desk, Tried: []fleet.EndpointID{replica(1, "a").ID}}
+	for range 5 {
+		if p := st.PlaceRetry(w.Now(), tried, control.RequestRefused); p.Reason != control.ReasonNoEndpoint {
+			t.Errorf("reason %v without an endpoint, want no_endpoint", p.Reason)
+		}
+	}
+	anywhere := control.PlacementRequest{Service: desk}
+	for n, want := range []control.Reason{control.ReasonNone, control.ReasonRetryBudget} {
+		if p := st.PlaceRetry(w.Now(), anywhere, control.RequestRefused); p.Reason != want {
+			t.Errorf("reason %v of retry %d, want %v", p.Reason, n+1, want)
+		}
+	}
+}
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -23,7 +23,7 @@
 	mayHaveRunCount int                   // attempts in which the request may have run
 	lastMaybeSent   bool                  // delivery.maybeSent of the last attempt
 	lastResult      control.AttemptResult // of the last attempt
-	givenUp         []fleet.EndpointID    // endpoints whose attempts were given up for their silence
+	givenUp         []fleet.EndpointID    // endpoints of attempts given up for silence, to which the request may go back
 }
 
 func (a *attemptHistory) add(d delivery) {
@@ -38,7 +38,8 @@
 //
 // A request that has not run is retried until maxTotalAttempts is reached. A request that may
 // have run is retried only if its route is retryable, until it may have run in MaxAttempts
-// attempts. A non-idempotent request therefore runs at most once.
+// attempts. A non-idempotent request therefore runs at most once. MaxAttempts limits the endpoints at which a request
+// may run: going back to one in givenUp is not ruled out by it.
 func (a *attemptHistory) retryDenied(r *routing.Route) control.Reason {
 	switch {
 	case a.count >= maxTotalAttempts:
@@ -51,11 +52,3 @@
 		return control.ReasonNone
 	}
 }
-
-// takeGivenUp returns the endpoints at which the request may run once more although it may have run at MaxAttempts
-// endpoints: those that were only silent. It returns them once. MaxAttempts limits the number of endpoints, not of runs.
-func (a *attemptHistory) takeGivenUp() []fleet.EndpointID {
-	out := a.givenUp
-	a.givenUp = nil
-	return out
-}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -164,7 +164,10 @@
 		if c.endIfDone(ctx) {
 			return
 		}
-		p = c.placeRetry()
+		p = c.placeNext(ctx)
+		if p.Reason != control.ReasonNone && c.endIfDone(ctx) {
+			return
+		}
 	}
 	c.endAttempts(p.Reason, p.RetryAfter)
 }
@@ -184,9 +187,23 @@
 	return true
 }
 
-// placeRetry places the attempt after one without a complete response: the reserved one, or a new one if the route
-// and the retry budget allow it. If no other endpoint can take the request, it goes back to one that was given up for
-// its silence.
+// placeNext places the attempt after one without a complete response. A request of which an attempt was given up for
+// its endpoint's silence does not end for lack of an endpoint or of retry budget: without an endpoint's own failure to
+// respond with, it waits for them until ctx ends.
+func (c *call) placeNext(ctx context.Context) control.Placement {
+	p := c.placeRetry()
+	for p.Reason != control.ReasonNone && len(c.attempts.givenUp) > 0 && c.response.deferredFailure == nil && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(overdueCheckInterval):
+			p = c.placeRetry()
+		}
+	}
+	return p
+}
+
+// placeRetry places the next attempt: the reserved one, or a new one if the route and the retry budget allow it. If
+// no other endpoint can take the request, it goes back to one that was given up for its silence.
 func (c *call) placeRetry() control.Placement {
 	if c.reserved != nil {
 		p := control.Placement{Attempt: c.reserved.Attempt}
@@ -194,23 +211,32 @@
 		c.logRetry()
 		return p
 	}
-	denied := c.attempts.retryDenied(c.admission.Route)
-	mayReturn := len(c.attempts.givenUp) > 0
-	if denied != control.ReasonNone && !(mayReturn && denied == control.ReasonMayHaveRun) {
-		return control.Placement{Reason: denied, RetryAfter: c.retryAfter()}
+	p := c.placeElsewhere()
+	if p.Reason != control.ReasonNone && len(c.attempts.givenUp) > 0 {
+		p = c.placeBack()
 	}
-	if !c.allowRetry() {
-		return control.Placement{Reason: control.ReasonRetryBudget, RetryAfter: c.retryAfter()}
+	if p.Reason == control.ReasonNone {
+		c.logRetry()
+	}
+	return p
+}
+
+func (c *call) placeElsewhere() control.Placement {
+	if denied := c.attempts.retryDenied(c.admission.Route); denied != control.ReasonNone {
+		return control.Placement{Reason: denied, RetryAfter: c.retryAfter()}
 	}
-	c.logRetry()
+	return c.placeWithBudget(c.placementRequest(c.response.events > 0))
+}
+
+// placeBack places an attempt at an endpoint of which an attempt was given up, once in the request.
+func (c *call) placeBack() control.Placement {
 	req := c.placementRequest(c.response.events > 0)
-	if denied == control.ReasonNone {
-		if p := c.place(req); p.Reason == control.ReasonNone || !mayReturn {
-			return p
-		}
+	req.Tried, req.Among = nil, c.attempts.givenUp
+	p := c.placeWithBudget(req)
+	if p.Reason == control.ReasonNone {
+		c.attempts.givenUp = nil
 	}
-	req.Tried, req.Among = nil, c.attempts.takeGivenUp()
-	return c.place(req)
+	return p
 }
 
 func (c *call) logRetry() {
@@ -224,16 +250,18 @@
 	}
 }
 
-// allowRetry takes a retry from the service's retry budget and reports whether there was one. A retry needs no budget
+// placeWithBudget places an attempt and takes a retry from the service's retry budget for it. A retry needs no budget
 // if no byte of the last attempt can have reached an endpoint.
-func (c *call) allowRetry() bool {
-	allowed := true
-	if c.attempts.lastMaybeSent {
-		c.s.control.Do(func(st *control.State, now boottime.Instant) {
-			allowed = st.AllowRetry(now, c.admission.Service, c.attempts.lastResult)
-		})
+func (c *call) placeWithBudget(req control.PlacementRequest) control.Placement {
+	if !c.attempts.lastMaybeSent {
+		return c.place(req)
 	}
-	return allowed
+	p := control.Placement{Reason: control.ReasonNoEndpoint, RetryAfter: endedRetryAfter}
+	c.s.control.Do(func(st *control.State, now boottime.Instant) { p = st.PlaceRetry(now, req, c.attempts.lastResult) })
+	if p.Reason == control.ReasonRetryBudget {
+		p.RetryAfter = c.retryAfter()
+	}
+	return p
 }
 
 func (c *call) place(req control.PlacementRequest) control.Placement {
--- a/internal/ingress/fake_test.go
+++ b/internal/ingress/fake_test.go
@@ -23,6 +23,7 @@
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/mesh"
 	"github.com/dandelionvane/dandelionvane/internal/metrics"
+	"github.com/dandelionvane/dandelionvane/internal/published"
 	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
@@ -143,11 +144,13 @@
 	ts.control.Do(func(s *control.State, now boottime.Instant) { s.ReadDone(now, u) })
 }
 
-// addEndpoint starts a scripted endpoint of service "s" and writes its entry to the store.
-func (ts *testServer) addEndpoint(id string, version fleet.SoftwareVersion, respond responder) {
+// addEndpoint starts a scripted endpoint of service "s" and writes its entry, which it returns, to the store.
+func (ts *testServer) addEndpoint(id string, version fleet.SoftwareVersion, respond responder) published.Item {
 	addr := ts.startEndpoint(id, respond)
 	ts.versions[id] = version
-	ts.store.Write(publishedtest.Endpoint(fleet.Endpoint{ID: fleet.EndpointID(id), Addr: addr, Service: "s", Version: version}, 0))
+	entry := publishedtest.Endpoint(fleet.Endpoint{ID: fleet.EndpointID(id), Addr: addr, Service: "s", Version: version}, 0)
+	ts.store.Write(entry)
+	return entry
 }
 
 func testConfig() *routing.Config {
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -34,19 +34,14 @@
 // AllowRetry counts a retry and returns true if the budget of ratio times the requests plus extra
 // allows it.
 func (w *Window) AllowRetry(now boottime.Instant, ratio, extra float64) bool {
-	if !w.WouldAllowRetry(now, ratio, extra) {
+	requests, retries := w.Counts(now)
+	if float64(retries+1) > ratio*float64(requests)+extra {
 		return false
 	}
 	w.slot(now).retries++
 	return true
 }
 
-// WouldAllowRetry reports whether AllowRetry would return true, without counting a retry.
-func (w *Window) WouldAllowRetry(now boottime.Instant, ratio, extra float64) bool {
-	requests, retries := w.Counts(now)
-	return float64(retries+1) <= ratio*float64(requests)+extra
-}
-
 // ReturnRetry takes back a retry that AllowRetry counted at a time, because it was not made.
 func (w *Window) ReturnRetry(countedAt boottime.Instant) {
 	n := w.slotIndex(countedAt)
