ingress: a process that was held up reads before it gives attempts up

After a pause of the process, or while it had no processor time, the watchdogs' timers ran before the events that had arrived meanwhile were read: sound attempts were given up, their work lost and the retry budget used.

A check that runs over 100 ms late is now repeated once after 250 ms, in which what had arrived is read. Only then is the attempt given up.

--- a/internal/ingress/watch.go
+++ b/internal/ingress/watch.go
@@ -34,6 +34,8 @@
 	hangEventGapFactor = 4
 	// overdueCheckInterval is the time between two checks whether a silent request can be retried.
 	overdueCheckInterval = 250 * time.Millisecond
+	// maxCheckDelay is how much later than due a check of a process that is not held up runs.
+	maxCheckDelay = 100 * time.Millisecond
 	// unreachableSilence is how long an attempt has had no progress before it is given up because its endpoint is
 	// unreachable.
 	unreachableSilence = 350 * time.Millisecond
@@ -58,6 +60,8 @@
 	retry        control.PlacementRequest // for the next attempt
 	lastProgress time.Time                // start of the attempt, or its last event
 	hangTimeout  time.Duration            // silence after which the response is overdue
+	nextCheck    time.Time                // when the next check is due
+	heldUp       bool                     // a check was late since the last progress
 	unreachable  bool                     // a connection to the endpoint has timed out during the attempt
 	ended        bool
 	reserved     *control.Reservation // of the next attempt, once this one has been given up
@@ -76,6 +80,7 @@
 	}
 	w.mu.Lock() // check may run before checkTimer is set
 	defer w.mu.Unlock()
+	w.nextCheck = time.Now().Add(w.hangTimeout)
 	w.checkTimer = time.AfterFunc(w.hangTimeout, w.check)
 	go w.awaitUnreachable()
 	return w
@@ -95,6 +100,11 @@
 	if w.ended || w.reserved != nil {
 		return
 	}
+	if !w.heldUp && time.Since(w.nextCheck) > maxCheckDelay {
+		w.heldUp = true // events of the attempt may not have been read yet
+		w.checkAfter(overdueCheckInterval)
+		return
+	}
 	silent := control.SilentAttempt{
 		Attempt: w.attempt.placed, Silence: time.Since(w.lastProgress),
 		HangTimeout: w.hangTimeout, UnreachableTimeout: unreachableSilence, Retry: w.retry,
@@ -102,7 +112,7 @@
 	w.attempt.s.control.Do(func(st *control.State, now boottime.Instant) { w.reserved = st.GiveUp(now, silent) })
 	switch {
 	case w.reserved == nil:
-		w.checkTimer.Reset(overdueCheckInterval)
+		w.checkAfter(overdueCheckInterval)
 	case w.reserved.Result == control.ConnectTimedOut:
 		w.cancel(errEndpointUnreachable)
 	default:
@@ -121,10 +131,17 @@
 	defer w.mu.Unlock()
 	if !w.ended {
 		w.unreachable = true
-		w.checkTimer.Reset(unreachableSilence - time.Since(w.lastProgress))
+		w.checkAfter(unreachableSilence - time.Since(w.lastProgress))
 	}
 }
 
+// checkAfter makes the next check due after d. It must be called with mu held.
+func (w *watchdog) checkAfter(d time.Duration) {
+	d = max(d, 0)
+	w.nextCheck = time.Now().Add(d)
+	w.checkTimer.Reset(d)
+}
+
 // progress restarts the timers after the endpoint has sent an event. It returns false if the attempt has been given
 // up: the event must not be forwarded, since the next attempt sends it as well.
 func (w *watchdog) progress(goalEventGap time.Duration) bool {
@@ -133,7 +150,7 @@
 	if w.reserved != nil {
 		return false
 	}
-	w.lastProgress = time.Now()
+	w.lastProgress, w.heldUp = time.Now(), false
 	w.attempt.placed.NoteEvent(boottime.Now())
 	w.hangTimeout = max(hangEventGapFactor*goalEventGap, minHangTimeout)
 	w.retry.Stream = w.attempt.origin.stream
@@ -145,7 +162,7 @@
 	if w.unreachable {
 		next = unreachableSilence
 	}
-	w.checkTimer.Reset(next)
+	w.checkAfter(next)
 	return true
 }
 
