ingress: a caller that does not read is not taken for a silent endpoint

While an event was written to a caller that did not read, the watchdog's timer ran on: after the hang timeout the attempt was given up and counted as a failure of its endpoint, and the stream was started again elsewhere.

The time between an event's arrival and the end of its write to the caller no longer counts as silence.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -119,6 +119,7 @@
 		if !a.forwardEvent(resp, &ev, n) {
 			return false
 		}
+		a.watchdog.forwarded()
 	}
 }
 
--- a/internal/ingress/heldup_test.go
+++ b/internal/ingress/heldup_test.go
@@ -36,6 +36,7 @@
 		if !w.progress(0) {
 			t.Fatal("the event that had waited was not accepted")
 		}
+		w.forwarded()
 	}
 	holdUp()
 	w.check()
--- a/internal/ingress/watch.go
+++ b/internal/ingress/watch.go
@@ -62,6 +62,7 @@
 	hangTimeout  time.Duration            // silence after which the response is overdue
 	nextCheck    time.Time                // when the next check is due
 	heldUp       bool                     // a check was late since the last progress
+	forwarding   bool                     // the last event is being written to the caller
 	unreachable  bool                     // a connection to the endpoint has timed out during the attempt
 	ended        bool
 	reserved     *control.Reservation // of the next attempt, once this one has been given up
@@ -100,6 +101,10 @@
 	if w.ended || w.reserved != nil {
 		return
 	}
+	if w.forwarding {
+		w.checkAfter(overdueCheckInterval)
+		return
+	}
 	if !w.heldUp && time.Since(w.nextCheck) > maxCheckDelay {
 		w.heldUp = true // events of the attempt may not have been read yet
 		w.checkAfter(overdueCheckInterval)
@@ -150,7 +155,7 @@
 	if w.reserved != nil {
 		return false
 	}
-	w.lastProgress, w.heldUp = time.Now(), false
+	w.lastProgress, w.heldUp, w.forwarding = time.Now(), false, true
 	w.attempt.placed.NoteEvent(boottime.Now())
 	w.hangTimeout = max(hangEventGapFactor*goalEventGap, minHangTimeout)
 	w.retry.Stream = w.attempt.origin.stream
@@ -166,6 +171,14 @@
 	return true
 }
 
+// forwarded must be called after the event of progress has been written to the caller. The time for that is not
+// silence of the endpoint.
+func (w *watchdog) forwarded() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastProgress, w.forwarding = time.Now(), false
+}
+
 // stop ends the watch and returns the reservation of the next attempt if this one has been given up, or nil.
 func (w *watchdog) stop() *control.Reservation {
 	w.mu.Lock()
