ingress: a test that trickling responses are given up

Bytes of a body and comments of a stream are no progress: the attempt is given up at the hang timeout as before. Passes on the code before as well.

--- a/internal/ingress/watch_test.go
+++ b/internal/ingress/watch_test.go
@@ -101,3 +101,35 @@
 		t.Errorf("got %q, %v after %v", got.body, got.err, time.Since(start))
 	}
 }
+
+// TestTricklingResponseIsGivenUp guards against counting bytes that are no progress, a body's or a stream's comments, as
+// signs of life of an endpoint that hangs.
+func TestTricklingResponseIsGivenUp(t *testing.T) {
+	for _, route := range []string{"idempotent", "resumable"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			ts := startTestServer(t, func(n int, c net.Conn, r *http.Request) {
+				if route == "idempotent" {
+					writeStampedHead(c, 200, "Transfer-Encoding: chunked")
+				} else {
+					writeStreamHead(c)
+				}
+				for range 50 { // 5 s, or until the connection is closed
+					if n > 1 {
+						break
+					}
+					writeChunk(c, ":\n\n")
+					time.Sleep(100 * time.Millisecond)
+				}
+				writeEvents(c, 1, 3)
+				endChunkedBody(c)
+			})
+			ts.publishUrgentConfig()
+			start := time.Now()
+			got := ts.send("POST", route, "")
+			if got.err != nil || got.body != eventsText(1, 3) || time.Since(start) > 2*time.Second {
+				t.Errorf("got %q, %v after %v", got.body, got.err, time.Since(start))
+			}
+		})
+	}
+}
