ingress: a silent attempt is checked when its time is up

The check of an attempt came 250 ms too late if the write of its last event to the caller took longer than the timer's delay: the silence was counted from the end of the write, the check was due from its start, found the attempt not yet overdue and was repeated 250 ms later.

A check that is early is now repeated when the rest of the time is up.

--- a/internal/ingress/heldup_test.go
+++ b/internal/ingress/heldup_test.go
@@ -9,18 +9,26 @@
 	"github.com/dandelionvane/dandelionvane/internal/control"
 )
 
-// TestProcessThatWasHeldUpReadsBeforeItGivesUp guards against giving up attempts right after this process was held up,
-// while events of theirs wait to be read.
-func TestProcessThatWasHeldUpReadsBeforeItGivesUp(t *testing.T) {
+// watchAttempt returns the watchdog of an attempt of a resumable stream, and the context that it cancels.
+func watchAttempt(t *testing.T) (*watchdog, context.Context) {
 	ts := startTestServer(t, nil)
 	c := &call{s: ts.server, admission: control.Admission{Service: "s", Route: &urgentConfig().Routes[3]}}
 	var p control.Placement
 	ts.control.Do(func(st *control.State, now boottime.Instant) { p = st.Place(now, c.placementRequest(false)) })
 	c.triedEndpoints = append(c.triedEndpoints, p.Attempt.Endpoint)
 	ctx, cancel := context.WithCancelCause(context.Background())
-	defer cancel(nil)
 	w := newWatchdog(&attempt{call: c, placed: p.Attempt}, cancel)
-	defer w.stop()
+	t.Cleanup(func() {
+		w.stop()
+		cancel(nil)
+	})
+	return w, ctx
+}
+
+// TestProcessThatWasHeldUpReadsBeforeItGivesUp guards against giving up attempts right after this process was held up,
+// while events of theirs wait to be read.
+func TestProcessThatWasHeldUpReadsBeforeItGivesUp(t *testing.T) {
+	w, ctx := watchAttempt(t)
 	holdUp := func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -46,3 +54,17 @@
 		t.Error("the silent attempt was not given up after the process had been held up")
 	}
 }
+
+// TestAttemptIsGivenUpInTimeAfterASlowWrite guards against giving a stream up later than at the hang timeout after its
+// last event was written to the caller.
+func TestAttemptIsGivenUpInTimeAfterASlowWrite(t *testing.T) {
+	w, ctx := watchAttempt(t)
+	w.progress(0)
+	time.Sleep(20 * time.Millisecond)
+	w.forwarded()
+	start := time.Now()
+	<-ctx.Done()
+	if d := time.Since(start); d < minHangTimeout || d > minHangTimeout+maxCheckDelay {
+		t.Errorf("given up after %v, want %v", d, minHangTimeout)
+	}
+}
--- a/internal/ingress/watch.go
+++ b/internal/ingress/watch.go
@@ -105,13 +105,18 @@
 		w.checkAfter(overdueCheckInterval)
 		return
 	}
+	silence := time.Since(w.lastProgress)
+	if rest := w.maxSilence() - silence; rest > 0 {
+		w.checkAfter(rest)
+		return
+	}
 	if !w.heldUp && time.Since(w.nextCheck) > maxCheckDelay {
 		w.heldUp = true // events of the attempt may not have been read yet
 		w.checkAfter(overdueCheckInterval)
 		return
 	}
 	silent := control.SilentAttempt{
-		Attempt: w.attempt.placed, Silence: time.Since(w.lastProgress),
+		Attempt: w.attempt.placed, Silence: silence,
 		HangTimeout: w.hangTimeout, UnreachableTimeout: unreachableSilence, Retry: w.retry,
 	}
 	w.attempt.s.control.Do(func(st *control.State, now boottime.Instant) { w.reserved = st.GiveUp(now, silent) })
@@ -140,6 +145,14 @@
 	}
 }
 
+// maxSilence returns the silence after which the attempt may be given up. It must be called with mu held.
+func (w *watchdog) maxSilence() time.Duration {
+	if w.unreachable {
+		return unreachableSilence
+	}
+	return w.hangTimeout
+}
+
 // checkAfter makes the next check due after d. It must be called with mu held.
 func (w *watchdog) checkAfter(d time.Duration) {
 	d = max(d, 0)
@@ -163,11 +176,7 @@
 	if w.checkTimer == nil {
 		return true
 	}
-	next := w.hangTimeout
-	if w.unreachable {
-		next = unreachableSilence
-	}
-	w.checkAfter(next)
+	w.checkAfter(w.maxSilence())
 	return true
 }
 
--- a/internal/ingress/watch_test.go
+++ b/internal/ingress/watch_test.go
@@ -133,3 +133,29 @@
 		})
 	}
 }
+
+// TestHangingStreamIsGivenUpInTime guards against giving a stream up later than at the hang timeout after its last event.
+func TestHangingStreamIsGivenUpInTime(t *testing.T) {
+	var eventAt, retriedAt time.Time
+	ts := startTestServer(t, func(n int, c net.Conn, r *http.Request) {
+		if n == 2 {
+			retriedAt = time.Now()
+		}
+		writeStreamHead(c)
+		if n == 1 {
+			eventAt = time.Now()
+			writeEvents(c, 1, 1)
+			time.Sleep(2 * time.Second)
+			return
+		}
+		writeEvents(c, 2, 3)
+		endChunkedBody(c)
+	})
+	ts.publishUrgentConfig()
+	if got := ts.send("POST", "resumable", ""); got.err != nil || got.body != eventsText(1, 3) {
+		t.Errorf("got %q, %v", got.body, got.err)
+	}
+	if d := retriedAt.Sub(eventAt); d < minHangTimeout || d > minHangTimeout+maxCheckDelay {
+		t.Errorf("given up after %v, want %v", d, minHangTimeout)
+	}
+}
