--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/dandelionvane/dandelionvane/internal/attempts"
 	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
 
@@ -21,6 +22,7 @@
 	mayHaveRunCount int                   // attempts in which the request may have run
 	lastMaybeSent   bool                  // delivery.maybeSent of the last attempt
 	lastResult      control.AttemptResult // of the last attempt
+	givenUp         []fleet.EndpointID    // endpoints of attempts given up for silence, to which the request may go back
 }
 
 func (a *attemptHistory) add(d delivery) {
@@ -32,6 +34,7 @@
 }
 
 // retryDenied returns the reason that rules out another attempt, or ReasonNone.
+// MaxAttempts of the route limits the endpoints at which a request may run: going back to one in givenUp is not ruled out.
 func (a *attemptHistory) retryDenied(r *routing.Route) control.Reason {
 	return attempts.RetryDenied(a.count, a.mayHaveRunCount, r)
 }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -162,7 +162,7 @@
 // further attempt is allowed.
 func (c *call) run(ctx context.Context) {
 	defer c.releaseReserved()
-	p := c.place()
+	p := c.place(c.placementRequest(false))
 	for p.Reason == control.ReasonNone {
 		d := c.runAttempt(ctx, p.Attempt)
 		c.attempts.add(d)
@@ -173,7 +173,10 @@
 		if c.endIfDone(ctx) {
 			return
 		}
-		p = c.placeRetry(ctx)
+		p = c.placeNext(ctx)
+		if p.Reason != control.ReasonNone && c.endIfDone(ctx) {
+			return
+		}
 	}
 	c.endAttempts(p.Reason, p.RetryAfter)
 }
@@ -191,23 +194,65 @@
 	return true
 }
 
-// placeRetry places the attempt after one without a complete response: the reserved one, or a new one if the route
-// and the retry budget allow it.
-func (c *call) placeRetry(ctx context.Context) control.Placement {
-	p := control.Placement{}
+// placeNext places the attempt after one without a complete response. A request of which an attempt was given up for
+// its endpoint's silence does not end for lack of an endpoint or of retry budget: without an endpoint's own failure to
+// respond with, it waits for them until ctx ends.
+func (c *call) placeNext(ctx context.Context) control.Placement {
+	if c.reserved == nil {
+		c.awaitOwnOrigin(ctx)
+	}
+	p := c.placeRetry()
+	for p.Reason != control.ReasonNone && len(c.attempts.givenUp) > 0 && c.response.deferredFailure == nil && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(overdueCheckInterval):
+			p = c.placeRetry()
+		}
+	}
+	return p
+}
+
+// placeRetry places the next attempt: the reserved one, or a new one if the route and the retry budget allow it. If
+// no other endpoint can take the request, it goes back to one that was given up for its silence.
+func (c *call) placeRetry() control.Placement {
 	if c.reserved != nil {
-		p.Attempt, c.reserved = c.reserved.Attempt, nil
-	} else if reason := c.reserveRetry(); reason != control.ReasonNone {
-		return control.Placement{Reason: reason, RetryAfter: c.retryAfter()}
+		p := control.Placement{Attempt: c.reserved.Attempt}
+		c.reserved = nil
+		c.logRetry()
+		return p
 	}
-	event.LogFields(event.AttemptRetried, "request", c.meta.ID, "sends", c.attempts.count, "may_have_run", c.attempts.mayHaveRunCount, "left_ms", time.Until(c.deadline).Milliseconds())
-	if p.Attempt == nil {
-		c.awaitOwnOrigin(ctx)
-		p = c.place()
+	p := c.placeElsewhere()
+	if p.Reason != control.ReasonNone && len(c.attempts.givenUp) > 0 {
+		p = c.placeBack()
+	}
+	if p.Reason == control.ReasonNone {
+		c.logRetry()
+	}
+	return p
+}
+
+func (c *call) placeElsewhere() control.Placement {
+	if denied := c.attempts.retryDenied(c.admission.Route); denied != control.ReasonNone {
+		return control.Placement{Reason: denied, RetryAfter: c.retryAfter()}
+	}
+	return c.placeWithBudget(c.placementRequest(c.response.events > 0))
+}
+
+// placeBack places an attempt at an endpoint of which an attempt was given up, once in the request.
+func (c *call) placeBack() control.Placement {
+	req := c.placementRequest(c.response.events > 0)
+	req.Tried, req.Among = nil, c.attempts.givenUp
+	p := c.placeWithBudget(req)
+	if p.Reason == control.ReasonNone {
+		c.attempts.givenUp = nil
 	}
 	return p
 }
 
+func (c *call) logRetry() {
+	event.LogFields(event.AttemptRetried, "request", c.meta.ID, "sends", c.attempts.count, "may_have_run", c.attempts.mayHaveRunCount, "left_ms", time.Until(c.deadline).Milliseconds())
+}
+
 // releaseReserved returns a reservation that the request has not used.
 func (c *call) releaseReserved() {
 	if c.reserved != nil {
@@ -215,31 +260,24 @@
 	}
 }
 
-// reserveRetry takes a retry from the service's retry budget and returns ReasonNone, or the
-// reason that rules out another attempt. A retry needs no budget if no byte of the last attempt
-// can have reached an endpoint.
-func (c *call) reserveRetry() control.Reason {
-	if r := c.attempts.retryDenied(c.admission.Route); r != control.ReasonNone {
-		return r
-	}
-	allowed := true
-	if c.attempts.lastMaybeSent {
-		c.s.control.Do(func(st *control.State, now boottime.Instant) {
-			allowed = st.AllowRetry(now, c.admission.Service, c.attempts.lastResult)
-		})
+// placeWithBudget places an attempt and takes a retry from the service's retry budget for it. A retry needs no budget
+// if no byte of the last attempt can have reached an endpoint.
+func (c *call) placeWithBudget(req control.PlacementRequest) control.Placement {
+	if !c.attempts.lastMaybeSent {
+		return c.place(req)
 	}
-	if !allowed {
-		return control.ReasonRetryBudget
+	p := control.Placement{Reason: control.ReasonNoEndpoint, RetryAfter: endedRetryAfter}
+	c.s.control.Do(func(st *control.State, now boottime.Instant) { p = st.PlaceRetry(now, req, c.attempts.lastResult) })
+	if p.Reason == control.ReasonRetryBudget {
+		p.RetryAfter = c.retryAfter()
 	}
-	return control.ReasonNone
+	return p
 }
 
-func (c *call) place() control.Placement {
+func (c *call) place(req control.PlacementRequest) control.Placement {
 	// The result if the event loop has ended.
 	p := control.Placement{Reason: control.ReasonNoEndpoint, RetryAfter: endedRetryAfter}
-	c.s.control.Do(func(st *control.State, now boottime.Instant) {
-		p = st.Place(now, c.placementRequest(c.response.events > 0))
-	})
+	c.s.control.Do(func(st *control.State, now boottime.Instant) { p = st.Place(now, req) })
 	return p
 }
 
--- a/internal/ingress/fake_test.go
+++ b/internal/ingress/fake_test.go
@@ -196,11 +196,13 @@
 	}
 }
 
-// addEndpoint starts a scripted endpoint of service "s" and writes its entry to the store.
-func (ts *testServer) addEndpoint(id string, version fleet.SoftwareVersion, respond responder) {
+// addEndpoint starts a scripted endpoint of service "s" and writes its entry, which it returns, to the store.
+func (ts *testServer) addEndpoint(id string, version fleet.SoftwareVersion, respond responder) published.Item {
 	addr := ts.startEndpoint(id, respond)
 	ts.versions[id] = version
-	ts.store.Write(publishedtest.Endpoint(fleet.Endpoint{ID: fleet.EndpointID(id), Addr: addr, Service: "s", Version: version, Incarnation: 1}, 0))
+	entry := publishedtest.Endpoint(fleet.Endpoint{ID: fleet.EndpointID(id), Addr: addr, Service: "s", Version: version, Incarnation: 1}, 0)
+	ts.store.Write(entry)
+	return entry
 }
 
 func testConfig() *routing.Config {
--- a/internal/ingress/watch.go
+++ b/internal/ingress/watch.go
@@ -34,6 +34,8 @@
 	hangEventGapFactor = 4
 	// overdueCheckInterval is the time between two checks whether a silent request can be retried.
 	overdueCheckInterval = 250 * time.Millisecond
+	// maxCheckDelay is how much later than due a check of a process that is not held up runs.
+	maxCheckDelay = 100 * time.Millisecond
 	// unreachableSilence is how long an attempt has had no progress before it is given up because its endpoint is
 	// unreachable.
 	unreachableSilence = 350 * time.Millisecond
@@ -58,6 +60,9 @@
 	retry        control.PlacementRequest // for the next attempt
 	lastProgress time.Time                // start of the attempt, or its last event
 	hangTimeout  time.Duration            // silence after which the response is overdue
+	nextCheck    time.Time                // when the next check is due
+	heldUp       bool                     // a check was late since the last progress
+	forwarding   bool                     // the last event is being written to the caller
 	unreachable  bool                     // a connection to the endpoint has timed out during the attempt
 	ended        bool
 	reserved     *control.Reservation // of the next attempt, once this one has been given up
@@ -76,6 +81,7 @@
 	}
 	w.mu.Lock() // check may run before checkTimer is set
 	defer w.mu.Unlock()
+	w.nextCheck = time.Now().Add(w.hangTimeout)
 	w.checkTimer = time.AfterFunc(w.hangTimeout, w.check)
 	go w.awaitUnreachable()
 	return w
@@ -95,14 +101,28 @@
 	if w.ended || w.reserved != nil {
 		return
 	}
+	if w.forwarding {
+		w.checkAfter(overdueCheckInterval)
+		return
+	}
+	silence := time.Since(w.lastProgress)
+	if rest := w.maxSilence() - silence; rest > 0 {
+		w.checkAfter(rest)
+		return
+	}
+	if !w.heldUp && time.Since(w.nextCheck) > maxCheckDelay {
+		w.heldUp = true // events of the attempt may not have been read yet
+		w.checkAfter(overdueCheckInterval)
+		return
+	}
 	silent := control.SilentAttempt{
-		Attempt: w.attempt.placed, Silence: time.Since(w.lastProgress),
+		Attempt: w.attempt.placed, Silence: silence,
 		HangTimeout: w.hangTimeout, UnreachableTimeout: unreachableSilence, Retry: w.retry,
 	}
 	w.attempt.s.control.Do(func(st *control.State, now boottime.Instant) { w.reserved = st.GiveUp(now, silent) })
 	switch {
 	case w.reserved == nil:
-		w.checkTimer.Reset(overdueCheckInterval)
+		w.checkAfter(overdueCheckInterval)
 	case w.reserved.Result == control.ConnectTimedOut:
 		w.cancel(errEndpointUnreachable)
 	default:
@@ -121,8 +141,23 @@
 	defer w.mu.Unlock()
 	if !w.ended {
 		w.unreachable = true
-		w.checkTimer.Reset(unreachableSilence - time.Since(w.lastProgress))
+		w.checkAfter(unreachableSilence - time.Since(w.lastProgress))
+	}
+}
+
+// maxSilence returns the silence after which the attempt may be given up. It must be called with mu held.
+func (w *watchdog) maxSilence() time.Duration {
+	if w.unreachable {
+		return unreachableSilence
 	}
+	return w.hangTimeout
+}
+
+// checkAfter makes the next check due after d. It must be called with mu held.
+func (w *watchdog) checkAfter(d time.Duration) {
+	d = max(d, 0)
+	w.nextCheck = time.Now().Add(d)
+	w.checkTimer.Reset(d)
 }
 
 // progress restarts the timers after the endpoint has sent an event. It returns false if the attempt has been given
@@ -133,7 +168,7 @@
 	if w.reserved != nil {
 		return false
 	}
-	w.lastProgress = time.Now()
+	w.lastProgress, w.heldUp, w.forwarding = time.Now(), false, true
 	w.attempt.placed.NoteEvent(boottime.Now())
 	w.hangTimeout = max(hangEventGapFactor*goalEventGap, minHangTimeout)
 	w.retry.Stream = w.attempt.origin.stream
@@ -141,14 +176,18 @@
 	if w.checkTimer == nil {
 		return true
 	}
-	next := w.hangTimeout
-	if w.unreachable {
-		next = unreachableSilence
-	}
-	w.checkTimer.Reset(next)
+	w.checkAfter(w.maxSilence())
 	return true
 }
 
+// forwarded must be called after the event of progress has been written to the caller. The time for that is not
+// silence of the endpoint.
+func (w *watchdog) forwarded() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastProgress, w.forwarding = time.Now(), false
+}
+
 // stop ends the watch and returns the reservation of the next attempt if this one has been given up, or nil.
 func (w *watchdog) stop() *control.Reservation {
 	w.mu.Lock()
--- a/internal/ingress/watch_test.go
+++ b/internal/ingress/watch_test.go
@@ -101,3 +101,61 @@
 		t.Errorf("got %q, %v after %v", got.body, got.err, time.Since(start))
 	}
 }
+
+// TestTricklingResponseIsGivenUp guards against counting bytes that are no progress, a body's or a stream's comments, as
+// signs of life of an endpoint that hangs.
+func TestTricklingResponseIsGivenUp(t *testing.T) {
+	for _, route := range []string{"idempotent", "resumable"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			ts := startTestServer(t, func(n int, c net.Conn, r *http.Request) {
+				if route == "idempotent" {
+					writeStampedHead(c, 200, "Transfer-Encoding: chunked")
+				} else {
+					writeStreamHead(c)
+				}
+				for range 50 { // 5 s, or until the connection is closed
+					if n > 1 {
+						break
+					}
+					writeChunk(c, ":\n\n")
+					time.Sleep(100 * time.Millisecond)
+				}
+				writeEvents(c, 1, 3)
+				endChunkedBody(c)
+			})
+			ts.publishUrgentConfig()
+			start := time.Now()
+			got := ts.send("POST", route, "")
+			if got.err != nil || got.body != eventsText(1, 3) || time.Since(start) > 2*time.Second {
+				t.Errorf("got %q, %v after %v", got.body, got.err, time.Since(start))
+			}
+		})
+	}
+}
+
+// TestHangingStreamIsGivenUpInTime guards against giving a stream up later than at the hang timeout after its last event.
+func TestHangingStreamIsGivenUpInTime(t *testing.T) {
+	var eventAt, retriedAt time.Time
+	ts := startTestServer(t, func(n int, c net.Conn, r *http.Request) {
+		if n == 2 {
+			retriedAt = time.Now()
+		}
+		writeStreamHead(c)
+		if n == 1 {
+			eventAt = time.Now()
+			writeEvents(c, 1, 1)
+			time.Sleep(2 * time.Second)
+			return
+		}
+		writeEvents(c, 2, 3)
+		endChunkedBody(c)
+	})
+	ts.publishUrgentConfig()
+	if got := ts.send("POST", "resumable", ""); got.err != nil || got.body != eventsText(1, 3) {
+		t.Errorf("got %q, %v", got.body, got.err)
+	}
+	if d := retriedAt.Sub(eventAt); d < minHangTimeout || d > minHangTimeout+maxCheckDelay {
+		t.Errorf("given up after %v, want %v", d, minHangTimeout)
+	}
+}
