--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -41,6 +41,7 @@
 	name, synopsis, usage     string
 	seedCount, jobs, gateways int
 	seed                      uint64
+	mix                       int
 	faultDuration             time.Duration
 	dir, binary               string
 }
@@ -52,6 +53,7 @@
 // SetFlags implements subcommands.Command.
 func (c *command) SetFlags(f *flag.FlagSet) {
 	f.Uint64Var(&c.seed, "seed", rand.Uint64N(1<<32), "first seed")
+	f.IntVar(&c.mix, "mix", soak.LatestMix, "version of the mix of faults; replay uses that of each seed")
 	f.DurationVar(&c.faultDuration, "length", 12*time.Second, "how long faults are injected per seed")
 	f.IntVar(&c.gateways, "gateways", 4, "number of gateway processes per fleet")
 	f.StringVar(&c.dir, "dir", filepath.Join(os.TempDir(), "dandelionvane-soak"), "directory for settings, logs and reports")
@@ -77,20 +79,26 @@
 	}
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	failed := 0
+	failed, classes := 0, map[string]int{}
 	for job := range c.jobs {
 		wg.Go(func() {
 			for n := job; n < len(seeds) && ctx.Err() == nil; n += c.jobs {
-				ok := c.runSeed(ctx, seeds[n], 100+job)
+				report, ok := c.runSeed(ctx, seeds[n], 100+job)
 				mu.Lock()
 				if !ok {
 					failed++
 				}
+				for class, count := range report.Classes() {
+					classes[class] += count
+				}
 				mu.Unlock()
 			}
 		})
 	}
 	wg.Wait()
+	for _, class := range slices.Sorted(maps.Keys(classes)) {
+		fmt.Printf("%6d violations: %s\n", classes[class], class)
+	}
 	fmt.Printf("%d of %d seeds failed\n", failed, len(seeds))
 	if failed > 0 {
 		return subcommands.ExitFailure
@@ -98,16 +106,15 @@
 	return subcommands.ExitSuccess
 }
 
-// selectSeeds returns the seeds to run: the regression seeds for replay, otherwise seedCount consecutive
-// seeds from the first.
-func (c *command) selectSeeds() ([]uint64, error) {
+// selectSeeds returns the seeds to run with their mixes: the regression seeds for replay, otherwise seedCount
+// consecutive seeds from the first.
+func (c *command) selectSeeds() ([]soak.FailedSeed, error) {
 	if c.name == "replay" {
-		failed, err := soak.FailedSeeds()
-		return slices.Sorted(maps.Keys(failed)), err
+		return soak.FailedSeeds()
 	}
-	var out []uint64
+	var out []soak.FailedSeed
 	for n := range c.seedCount {
-		out = append(out, c.seed+uint64(n))
+		out = append(out, soak.FailedSeed{Seed: c.seed + uint64(n), Mix: c.mix})
 	}
 	return out, nil
 }
@@ -122,14 +129,14 @@
 	return errors.Wrapf(err, "build: %s", out)
 }
 
-func (c *command) runSeed(ctx context.Context, seed uint64, loopbackSubnet int) bool {
+func (c *command) runSeed(ctx context.Context, s soak.FailedSeed, loopbackSubnet int) (soak.Report, bool) {
 	report, err := soak.Run(ctx, soak.Options{
-		Binary: c.binary, Dir: filepath.Join(c.dir, fmt.Sprint(seed)), LoopbackSubnet: loopbackSubnet, Seed: seed, Gateways: c.gateways, FaultDuration: c.faultDuration,
+		Binary: c.binary, Dir: filepath.Join(c.dir, fmt.Sprint(s.Seed)), LoopbackSubnet: loopbackSubnet, Seed: s.Seed, Mix: s.Mix, Gateways: c.gateways, FaultDuration: c.faultDuration,
 	})
 	if err != nil {
-		fmt.Printf("seed %d: %v\n", seed, err)
-		return false
+		fmt.Printf("seed %d: %v\n", s.Seed, err)
+		return report, false
 	}
 	fmt.Println(report)
-	return len(report.Violations) == 0
+	return report, len(report.Violations) == 0
 }
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -14,43 +13,86 @@
 	"github.com/dandelionvane/dandelionvane/platform/platformtest"
 )
 
-// delayAfterFailure is the pause of a caller after a response other than 200, or none, before it sends its next request.
-const delayAfterFailure = 50 * time.Millisecond
+const (
+	// delayAfterFailure is the pause of a caller after a response other than 200, or none, before it sends its next request.
+	delayAfterFailure = 50 * time.Millisecond
+	// idlePauses is how many requests a caller sends, on average, between two pauses of up to maxIdlePause.
+	idlePauses   = 100
+	maxIdlePause = 3 * time.Second
+	// slowBodies is how many requests a caller sends, on average, between two whose body follows up to maxBodyPause later.
+	slowBodies   = 10
+	maxBodyPause = 300 * time.Millisecond
+)
 
 var requestCount atomic.Uint64 // requests sent by this process; part of their ids
 
-// runCaller sends one request after the other to random gateways over persistent connections until ctx
+// runCaller sends one request after the other to random gateways over kept connections until ctx
 // is done. It never repeats a request.
 func (r *run) runCaller(ctx context.Context, n int) {
 	rng := rand.New(rand.NewPCG(r.opts.Seed, uint64(n)))
-	t := &http.Transport{MaxIdleConnsPerHost: 2}
-	defer t.CloseIdleConnections()
+	p := newPool(r)
+	defer p.close()
 	for ctx.Err() == nil {
 		g := r.fleet.gateways[rng.IntN(len(r.fleet.gateways))]
 		key := r.currentKey()
 		if rng.IntN(3) == 0 {
 			key = r.randomRecentKey(rng) // callers may still use a key after its revocation
 		}
-		if o := r.send(ctx, t, g, routeKinds[rng.IntN(len(routeKinds))], key); o.status != http.StatusOK {
+		q := outgoing{gateway: g, kind: routeKinds[rng.IntN(len(routeKinds))], key: key}
+		if rng.IntN(slowBodies) == 0 {
+			q.bodyPause = time.Duration(rng.Int64N(int64(maxBodyPause)))
+		}
+		if o := r.send(ctx, p, q); o.status != http.StatusOK {
 			ctxtime.Sleep(ctx, delayAfterFailure)
 		}
+		if rng.IntN(idlePauses) == 0 {
+			ctxtime.Sleep(ctx, time.Duration(rng.Int64N(int64(maxIdlePause))))
+		}
 	}
 }
 
+// outgoing is a request to be sent.
+type outgoing struct {
+	gateway   *gateway
+	kind, key string
+	bodyPause time.Duration // between its head and its body
+	limit     int64         // bytes of the response's body after which the caller leaves, 0: none
+	origin    string        // ID of the request that began the stream to resume, "" for none
+	lastEvent uint64        // of that stream
+}
+
 // probe sends one request over a new connection.
 func (r *run) probe(ctx context.Context, g *gateway, kind, key string) response {
-	t := &http.Transport{DisableKeepAlives: true}
-	return r.send(ctx, t, g, kind, key)
+	p := newPool(r)
+	defer p.close()
+	return r.send(ctx, p, outgoing{gateway: g, kind: kind, key: key})
 }
 
-func (r *run) send(ctx context.Context, t http.RoundTripper, g *gateway, kind, key string) response {
+// send sends a request over a connection of a pool and records how it ended.
+func (r *run) send(ctx context.Context, p *pool, q outgoing) response {
+	rec := callerRecord{kind: q.kind, key: q.key, gateway: q.gateway.name, sentAt: time.Now()}
+	c, err := p.get(ctx, q.gateway)
+	if err == errOutOfRotation {
+		return response{}
+	}
 	id := r.nextID()
-	rec := callerRecord{kind: kind, key: key, sentAt: time.Now()}
-	reqCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
-	defer cancel()
-	rec.response = roundTrip(reqCtx, t, g, kind, id, key)
-	rec.gatewayUndisturbed = g.undisturbedSince(rec.sentAt)
+	if err == nil {
+		var reusable bool
+		var body []byte
+		rec.response, body, reusable = r.exchange(c, id, q)
+		if rec.response.status == http.StatusOK {
+			rec.response.text = string(body)
+			rec.response.violation = checkBody(q, id, string(body), rec.response.complete)
+		}
+		if reusable {
+			p.put(c)
+		} else {
+			c.close()
+		}
+	}
+	rec.endedAt = time.Now()
 	r.ledger.recordRequest(id, rec)
+	rec.response.id = id
 	return rec.response
 }
 
@@ -59,31 +101,23 @@
 	return fmt.Sprintf("%016x", uint64(r.opts.LoopbackSubnet)<<48|requestCount.Add(1))
 }
 
-func roundTrip(ctx context.Context, t http.RoundTripper, g *gateway, kind, id, key string) response {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.callerAddr+"/"+kind+"/x", strings.NewReader("body of "+id))
+func (r *run) exchange(c *clientConn, id string, q outgoing) (response, []byte, bool) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+q.gateway.callerAddr+"/"+q.kind+"/x", strings.NewReader("body of "+id))
 	if err != nil {
-		return response{violation: err.Error()}
+		return response{violation: err.Error()}, nil, false
 	}
-	req.GetBody = nil // keeps the transport from retrying the request
-	platformtest.SetCallerHeaders(req, id, key, requestTimeout)
-	resp, err := t.RoundTrip(req)
-	if err != nil {
-		return response{} // no response
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	o := response{status: resp.StatusCode, complete: err == nil}
-	if resp.StatusCode == http.StatusOK {
-		o.violation = checkBody(kind, id, string(body), o.complete)
+	platformtest.SetCallerHeaders(req, id, q.key, requestTimeout)
+	if q.lastEvent > 0 {
+		platformtest.SetResumeHeaders(req, q.origin, q.lastEvent)
 	}
-	return o
+	return c.roundTrip(sending{request: req, deadline: time.Now().Add(requestTimeout), pause: q.bodyPause, limit: q.limit})
 }
 
 // checkBody returns the violation in the body of a 200 response, or "". A truncated body must be a
 // prefix of the expected one.
-func checkBody(kind, id, body string, complete bool) string {
-	if kind == "streaming" || kind == "resumable" {
-		return checkStream(parseStream(id, body, 0), complete)
+func checkBody(q outgoing, id, body string, complete bool) string {
+	if isStream(q.kind) {
+		return checkStream(parseStream(id, body, q.lastEvent), complete)
 	}
 	want := fullBody(id)
 	switch {
@@ -95,3 +129,6 @@
 		return ""
 	}
 }
+
+// isStream reports whether the responses of a kind of route are streams.
+func isStream(kind string) bool { return kind == "streaming" || kind == "resumable" }
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/dandelionvane/dandelionvane/internal/ctxtime"
 	"github.com/dandelionvane/dandelionvane/internal/published"
 	"github.com/dandelionvane/dandelionvane/internal/standin/link"
 	"github.com/dandelionvane/dandelionvane/platform/platformtest"
@@ -16,38 +19,16 @@
 	endpointsPerKind = 4
 	streamEvents     = 6
 	eventInterval    = 15 * time.Millisecond
-	hangDuration     = 2 * time.Second
 )
 
 var routeKinds = platformtest.RouteNames
 
-// mode is the failure mode of an endpoint.
-type mode int
-
-const (
-	modeHealthy    mode = iota
-	modeFailing         // executes the request and answers 500
-	modeClosing         // executes the request and closes the connection without a response
-	modeHanging         // executes the request for hangDuration before it responds
-	modeTruncating      // executes the request and closes the connection in the middle of the response body
-	modePausing         // refuses requests and wants none from the gateway for pauseLength
-	modeLeaving         // executes the request and says that it leaves
-	modeCount
-)
-
-// pauseLength is the time for which an endpoint in modePausing wants no requests from a gateway that it has refused
-// one of.
-const pauseLength = 2 * time.Second
-
-func (m mode) String() string {
-	return [...]string{"sound", "failing", "closing", "hanging", "truncating the response", "pausing", "leaving"}[m]
-}
-
 // endpoint is an endpoint of one route kind behind a fault-injecting proxy (package link). It records each
 // execution in the ledger.
 type endpoint struct {
-	id, kind  string
+	id, kind  string // kind is the name of its service
 	ledger    *ledger
+	timeline  *timeline
 	server    *http.Server
 	link      *link.Link
 	serveDone chan struct{}
@@ -57,10 +38,13 @@
 	version         string    // of its software
 	startedAt       time.Time // of its process
 	lastDisturbance time.Time // last change of its mode or of the faults of its proxy
+	silentUntil     time.Time // it is sound, but sends nothing before
+	endMode         func()    // ends the circumstance of its mode
+	endLinkFault    func()    // ends the circumstance of its link
 }
 
-func startEndpoint(id, kind, version string, l *ledger) (*endpoint, error) {
-	e := &endpoint{id: id, kind: kind, ledger: l, serveDone: make(chan struct{}), version: version, startedAt: time.Now().Add(-time.Hour)}
+func startEndpoint(id, kind, version string, l *ledger, t *timeline) (*endpoint, error) {
+	e := &endpoint{id: id, kind: kind, ledger: l, timeline: t, endMode: func() {}, endLinkFault: func() {}, serveDone: make(chan struct{}), version: version, startedAt: time.Now().Add(-time.Hour)}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -88,6 +72,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.version, e.startedAt, e.mode, e.lastDisturbance = version, time.Now(), modeHealthy, time.Now()
+	e.endMode()
 }
 
 // soundVersion returns the version of an endpoint without a fault, or "".
@@ -100,16 +85,42 @@
 	return e.version
 }
 
-// setMode changes the failure mode and records the time of the change as a disturbance.
+// setMode changes the failure mode and records the change as a disturbance.
 func (e *endpoint) setMode(m mode) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.mode, e.lastDisturbance = m, time.Now()
+	e.endMode()
+	if c := m.cause(); c != 0 {
+		e.endMode = e.timeline.begin(c, serviceSubject(e.kind))
+	}
+}
+
+// setSilent makes the endpoint send nothing for d. It stays sound.
+func (e *endpoint) setSilent(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silentUntil, e.lastDisturbance = time.Now().Add(d), time.Now()
+	e.timeline.mark(endpointSilent, serviceSubject(e.kind), d)
+}
+
+// awaitSilence returns when the endpoint is no longer silent, or the context of a request is done.
+func (e *endpoint) awaitSilence(ctx context.Context) {
+	e.mu.Lock()
+	left := time.Until(e.silentUntil)
+	e.mu.Unlock()
+	if left > 0 {
+		ctxtime.Sleep(ctx, left)
+	}
 }
 
 func (e *endpoint) injectLinkFaults(f link.Faults) {
 	e.mu.Lock()
 	e.lastDisturbance = time.Now()
+	e.endLinkFault()
+	if f != (link.Faults{}) {
+		e.endLinkFault = e.timeline.begin(endpointLink, serviceSubject(e.kind))
+	}
 	e.mu.Unlock()
 	e.link.Inject(f)
 }
@@ -133,16 +144,25 @@
 	if f.Workspace != "w" || f.Key != "" {
 		violation = fmt.Sprintf("forwarded with workspace %q, caller key present: %t", f.Workspace, f.Key != "")
 	}
-	m, duringFault := e.faultState()
+	m, _ := e.faultState()
 	if m == modePausing {
 		platformtest.Refuse(w, pauseLength)
 		return
 	}
-	e.ledger.recordExecution(f.ID, duringFault, violation)
+	e.ledger.recordExecution(f.ID, violation)
+	if respondEndlessly(w, m, f.ID) {
+		return
+	}
 	platformtest.StampResponse(w.Header(), f.ID)
 	if m == modeLeaving {
 		platformtest.AnnounceLeaving(w.Header())
 	}
+	e.awaitSilence(r.Context())
+	e.respond(w, r, f, m)
+}
+
+// respond sends the response to a request that is executed.
+func (e *endpoint) respond(w http.ResponseWriter, r *http.Request, f platformtest.Forwarded, m mode) {
 	switch m {
 	case modeFailing:
 		http.Error(w, "failed", http.StatusInternalServerError)
@@ -150,14 +170,13 @@
 	case modeClosing:
 		panic(http.ErrAbortHandler)
 	case modeHanging:
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(hangDuration):
-		}
+		ctxtime.Sleep(r.Context(), hangDuration)
+	}
+	if r.Context().Err() != nil {
+		return
 	}
-	if e.kind == "streaming" || e.kind == "resumable" {
-		e.stream(w, f, m)
+	if isStream(routeOf(r)) {
+		e.stream(r.Context(), w, f, m)
 		return
 	}
 	text := fullBody(f.ID)
@@ -169,7 +188,13 @@
 	_, _ = w.Write([]byte(text))
 }
 
-func (e *endpoint) stream(w http.ResponseWriter, f platformtest.Forwarded, m mode) {
+// routeOf returns the name of the route of a request.
+func routeOf(r *http.Request) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return name
+}
+
+func (e *endpoint) stream(ctx context.Context, w http.ResponseWriter, f platformtest.Forwarded, m mode) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
 	e.mu.Lock()
@@ -179,6 +204,9 @@
 		if m == modeTruncating && n == streamEvents/2 {
 			panic(http.ErrAbortHandler)
 		}
+		if e.awaitSilence(ctx); ctx.Err() != nil {
+			return
+		}
 		_, _ = fmt.Fprint(w, streamEvent(f.ID, n, version))
 		_ = rc.Flush() // the gateway may have closed the connection
 		time.Sleep(eventInterval)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/ctxtime"
-	"github.com/dandelionvane/dandelionvane/internal/published"
 	"github.com/dandelionvane/dandelionvane/internal/standin/link"
 	"github.com/dandelionvane/dandelionvane/platform/platformtest"
 )
@@ -15,7 +14,7 @@
 const (
 	meanFaultInterval = 400 * time.Millisecond // mean interval between the starts of two faults
 	maxFaultDuration  = 5 * time.Second        // upper bound of the random part of the duration of a fault
-	routeTimeout      = 3 * time.Second        // request timeout in the published configuration
+	contactDelay      = 3 * time.Second        // after the end of a disturbance of the store or its links within which it may explain an outcome
 	republishDelay    = 500 * time.Millisecond // from the store's return with an older copy until it has what it lost
 )
 
@@ -23,21 +22,12 @@
 // ends it; its duration, if any, is derived from d. Faults may overlap.
 type fault func(r *run, d time.Duration)
 
-// faultMix lists the faults to choose from with equal probability; one that is listed twice is chosen
-// twice as often.
-var faultMix = []fault{
-	(*run).stopGateway, (*run).stopGateway, (*run).killGateway, (*run).pauseGateway, (*run).reloadGateway,
-	(*run).storeOutage, (*run).storeLinkFault, (*run).storeLinkFault,
-	(*run).endpointFailure, (*run).endpointFailure, (*run).endpointLinkFault, (*run).drainEndpoint,
-	(*run).rotateKey, (*run).publishConfig,
-	(*run).upgradeEndpoint, (*run).upgradeEndpoint, (*run).killHalf, (*run).restoreStore,
-}
-
 // injectFaults starts random faults until a time, then waits until the functions passed to runAfter have
 // returned.
 func (r *run) injectFaults(ctx context.Context, until time.Time) {
+	faults := mixes[r.opts.Mix].faults
 	for time.Now().Before(until) && ctx.Err() == nil {
-		f := faultMix[r.rng.IntN(len(faultMix))]
+		f := faults[r.rng.IntN(len(faults))]
 		f(r, time.Duration(r.rng.Int64N(int64(maxFaultDuration))))
 		ctxtime.Sleep(ctx, time.Duration(r.rng.Int64N(int64(2*meanFaultInterval))))
 	}
@@ -68,7 +58,7 @@
 
 func (r *run) restartGateway(g *gateway) {
 	if err := g.start(); err != nil {
-		r.fleet.addViolation("%s failed to start: %v", g.name, err)
+		r.fleet.addViolation("process", "%s failed to start: %v", g.name, err)
 	}
 }
 
@@ -114,9 +104,12 @@
 	r.runAfter(d/2, func() {
 		r.logFault("store returns with a copy of %v before", (d / 2).Round(time.Millisecond))
 		r.markAllDisturbed()
+		end := r.timeline.begin(storeAway, "")
+		defer end()
 		r.fleet.store.Restore(copied)
 		time.Sleep(republishDelay)
-		r.fleet.store.Write(r.currentConfig())
+		r.operator.publishAgain()
+		r.timeline.mark(storeAway, "", contactDelay)
 		for _, e := range r.endpoints {
 			r.fleet.store.Write(e.item(false))
 		}
@@ -142,10 +135,13 @@
 	d += keyRevocationDelay
 	r.logFault("store down for %v", d)
 	r.markAllDisturbed()
+	end := r.timeline.begin(storeAway, "")
 	r.fleet.store.Down.Store(true)
 	r.runAfter(d, func() {
 		r.markAllDisturbed()
 		r.fleet.store.Down.Store(false)
+		end()
+		r.timeline.mark(storeAway, "", contactDelay)
 	})
 }
 
@@ -162,10 +158,13 @@
 	g, f := r.pickGateway(), linkFaults[r.rng.IntN(len(linkFaults))]
 	r.logFault("link of %s to the store: %+v for %v", g.name, f, d)
 	g.markDisturbed()
+	end := r.timeline.begin(storeAway, g.name)
 	g.storeLink.Inject(f)
 	r.runAfter(d, func() {
 		g.markDisturbed()
 		g.storeLink.Inject(link.Faults{})
+		end()
+		r.timeline.mark(storeAway, g.name, contactDelay)
 	})
 }
 
@@ -197,43 +196,24 @@
 	r.mu.Lock()
 	old := r.newestKey
 	r.newestKey = "key-" + time.Now().Format("150405.000000")
-	r.validKeys, r.issuedKeys = append(r.validKeys, r.newestKey), append(r.issuedKeys, r.newestKey)
+	issued := r.newestKey
+	r.issuedKeys = append(r.issuedKeys, issued)
 	r.mu.Unlock()
 	r.logFault("new key")
-	r.fleet.store.Write(r.nextConfig())
+	r.operator.publish(func(c *platformtest.ConfigEntry) { c.Keys = append(slices.Clone(c.Keys), issued) })
 	r.runAfter(keyRevocationDelay+d, func() {
-		r.mu.Lock()
-		r.validKeys = slices.DeleteFunc(r.validKeys, func(k string) bool { return k == old })
-		r.mu.Unlock()
 		r.logFault("%s: revoked", old)
-		r.fleet.store.Write(r.nextConfig())
+		r.operator.withdrawing(old)
+		r.operator.publish(func(c *platformtest.ConfigEntry) {
+			c.Keys = slices.DeleteFunc(slices.Clone(c.Keys), func(k string) bool { return k == old })
+		})
 		r.ledger.recordRevocation(old)
 	})
 }
 
 func (r *run) publishConfig(time.Duration) {
 	r.logFault("new configuration")
-	r.fleet.store.Write(r.nextConfig())
-}
-
-// nextConfig returns the next version of the configuration, with the valid keys.
-func (r *run) nextConfig() published.Item {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.configVersion++
-	return r.config()
-}
-
-// currentConfig returns the configuration that was published last.
-func (r *run) currentConfig() published.Item {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.config()
-}
-
-// config returns the configuration of the current version and keys; r.mu must be held.
-func (r *run) config() published.Item {
-	return platformtest.Config(r.configVersion, routeTimeout, r.validKeys...)
+	r.operator.publish(func(*platformtest.ConfigEntry) {})
 }
 
 // restoreHealthyState resets every component to its state without faults, including those whose fault has
@@ -241,6 +221,7 @@
 func (r *run) restoreHealthyState() {
 	r.logFault("healed")
 	r.fleet.store.Down.Store(false)
+	r.operator.publish(r.resetConfig)
 	for _, g := range r.fleet.gateways {
 		g.storeLink.Inject(link.Faults{})
 		g.signal(syscall.SIGCONT)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -21,17 +21,28 @@
 
 const (
 	seedGateways = 2               // number of gateways that the settings list as seeds
-	stopTimeout  = 9 * time.Second // limit for a planned stop: the grace period in the settings (8 s) plus 1 s
+	gracePeriod  = 8 * time.Second // of a planned stop, as in the settings
+	stopTimeout  = 9 * time.Second // limit for a planned stop: the grace period plus 1 s
+	// rotationDelay is the time after the begin of a planned stop in which the load balancer may send new connections: it
+	// asks once a second, and two negative answers in a row end it.
+	rotationDelay = 2 * time.Second
+	// startDelay is the time after the start of a process within which it need not accept connections.
+	startDelay = 3 * time.Second
+	// settleTime is the time after a pause within which the pause may explain how a request ended.
+	settleTime = time.Second
+	// stopReserve is the time before the end of the grace period in which a process may end requests.
+	stopReserve = time.Second
 )
 
 // fleet is the set of gateways and the store that they read.
 type fleet struct {
 	store    *platformtest.Store
 	server   *httptest.Server
+	timeline *timeline
 	gateways []*gateway
 
 	mu         sync.Mutex
-	violations []string // unexpected exits, planned stops that timed out, and starts and signals that failed
+	violations []Violation // unexpected exits, planned stops that timed out, and starts and signals that failed
 }
 
 // gateway is one instance. Its process may be stopped and started again. It reaches the store through a
@@ -42,15 +53,23 @@
 	binary                      string
 	callerAddr                  string // IP:port
 	storeLink                   *link.Link
-	mu                          sync.Mutex
-	cmd                         *exec.Cmd
-	exited                      chan struct{}
-	stopRequested               bool      // the exit of the process was requested
-	lastDisturbance             time.Time // last start or end of a fault other than a planned stop or a reload
+	environment                 []string
+	settings                    platformtest.Instance
+	oneSeed                     bool // the settings name only the first seed
+
+	mu              sync.Mutex
+	cmd             *exec.Cmd
+	exited          chan struct{}
+	stopRequested   bool      // the exit of the process was requested
+	lastDisturbance time.Time // last start or end of a fault other than a planned stop or a reload
+	stoppingSince   time.Time // last SIGTERM of the process, zero for none
+	ended           []func()  // end the circumstances that last until the next start of the process
+	continued       func()    // ends the circumstance of a pause, nil for none
+	peakMemory      uint64    // of its processes, in bytes
 }
 
-func startFleet(o Options) (*fleet, error) {
-	f := &fleet{store: platformtest.NewStore()}
+func startFleet(o Options, t *timeline) (*fleet, error) {
+	f := &fleet{store: platformtest.NewStore(), timeline: t}
 	f.server = httptest.NewServer(f.store)
 	ports, err := platformtest.FreePorts(fmt.Sprintf("127.0.%d.1", o.LoopbackSubnet), 4)
 	if err != nil {
@@ -78,7 +97,7 @@
 		in.Seeds = append(in.Seeds, fmt.Sprintf("127.0.%d.%d:%d", o.LoopbackSubnet, s+1, ports[2]))
 	}
 	g := &gateway{
-		fleet: f, name: in.ID, binary: o.Binary, storeLink: l,
+		fleet: f, name: in.ID, binary: o.Binary, storeLink: l, settings: in, environment: mixes[o.Mix].environment,
 		settingsFile: filepath.Join(o.Dir, in.ID+".conf"),
 		logFile:      filepath.Join(o.Dir, in.ID+".log"),
 		callerAddr:   net.JoinHostPort(ip, fmt.Sprint(ports[0])),
@@ -103,13 +122,16 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(g.binary, "gateway")
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.settingsFile)
+	cmd.Env = append(append(os.Environ(), g.environment...), platform.SettingsVariable+"="+g.settingsFile)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "soak: start a gateway")
 	}
-	g.cmd, g.stopRequested, g.exited = cmd, false, make(chan struct{})
+	g.cmd, g.stopRequested, g.exited, g.stoppingSince = cmd, false, make(chan struct{}), time.Time{}
+	g.endCircumstances()
+	g.fleet.timeline.mark(gatewayDown, g.name, startDelay)
 	go g.wait(cmd, g.exited)
+	go g.watchMemory(cmd.Process.Pid, g.exited)
 	return nil
 }
 
@@ -120,10 +142,10 @@
 	g.cmd = nil
 	switch {
 	case !g.stopRequested:
-		g.fleet.addViolation("%s exited unexpectedly: %v", g.name, err)
+		g.fleet.addViolation("process", "%s exited unexpectedly: %v", g.name, err)
 	case err == nil || strings.Contains(err.Error(), "killed"):
 	case g.loggedStart(cmd.Process.Pid):
-		g.fleet.addViolation("%s exited with an error: %v", g.name, err)
+		g.fleet.addViolation("process", "%s exited with an error: %v", g.name, err)
 	}
 	close(exited)
 }
@@ -155,8 +177,9 @@
 	if s != syscall.SIGTERM && s != syscall.SIGHUP {
 		g.lastDisturbance = time.Now()
 	}
+	g.noteSignal(s)
 	if err := g.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		g.fleet.addViolation("signal %v to %s: %v", s, g.name, err)
+		g.fleet.addViolation("process", "signal %v to %s: %v", s, g.name, err)
 	}
 }
 
@@ -174,7 +197,7 @@
 		g.signal(syscall.SIGKILL)
 		<-exited
 		if g.undisturbed() {
-			g.fleet.addViolation("%s did not stop within %v", g.name, stopTimeout)
+			g.fleet.addViolation("process", "%s did not stop within %v", g.name, stopTimeout)
 		}
 	}
 }
@@ -198,14 +221,14 @@
 	return g.lastDisturbance.IsZero() || start.Sub(g.lastDisturbance) > requestTimeout
 }
 
-func (f *fleet) addViolation(format string, args ...any) {
+func (f *fleet) addViolation(class, format string, args ...any) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.violations = append(f.violations, fmt.Sprintf(format, args...))
+	f.violations = append(f.violations, Violation{class, fmt.Sprintf(format, args...)})
 }
 
 // processViolations returns the violations found in the processes, as opposed to the ledger.
-func (f *fleet) processViolations() []string {
+func (f *fleet) processViolations() []Violation {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.violations
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -6,27 +6,23 @@
 	"time"
 )
 
-// response is what the caller observed of the response to one request.
-type response struct {
-	status    int    // 0: no response
-	complete  bool   // the body was read to its end without an error
-	violation string // in the body, "" if none
-}
+// timeOverSlack is how much shorter than its route's timeout a request may seem to its caller that the gateway has ended
+// for this timeout.
+const timeOverSlack = 50 * time.Millisecond
 
 // callerRecord is one request as its caller observed it.
 type callerRecord struct {
-	kind               string
-	key                string
-	sentAt             time.Time
-	gatewayUndisturbed bool // see gateway.undisturbedSince
-	response           response
+	kind            string
+	key             string
+	gateway         string
+	sentAt, endedAt time.Time
+	response        response
 }
 
 // endpointRecord is one request as the endpoints observed it.
 type endpointRecord struct {
-	count       int    // number of executions
-	duringFault bool   // an execution took place during or shortly after a fault of its endpoint
-	violation   string // in the request as forwarded, "" if none
+	count     int    // number of executions
+	violation string // in the request as forwarded, "" if none
 }
 
 // ledger records what callers and endpoints observe of each request, and compares the two.
@@ -54,7 +50,7 @@
 }
 
 // recordExecution records that an endpoint executes a request.
-func (l *ledger) recordExecution(id string, duringFault bool, violation string) {
+func (l *ledger) recordExecution(id string, violation string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	exec := l.executions[id]
@@ -63,64 +59,110 @@
 		l.executions[id] = exec
 	}
 	exec.count++
-	exec.duringFault = exec.duringFault || duringFault
 	if violation != "" {
 		exec.violation = violation
 	}
 }
 
-// report compares the records of callers and endpoints. It counts the requests and lists the violations.
-func (l *ledger) report() Report {
+// report compares the records of callers and endpoints. It counts the requests and lists the violations. circumstances
+// returns what may explain how a request ended.
+func (l *ledger) report(start time.Time, circumstances func(callerRecord) cause) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out Report
+	out := Report{Outcomes: map[string]*[outcomeCount]int{}}
 	for id, req := range l.requests {
 		exec := l.executions[id]
 		if exec == nil {
 			exec = &endpointRecord{}
 		}
-		out.Requests++
-		switch {
-		case req.response.complete && req.response.status == 200:
-			out.Answered++
-		case req.response.status == 503 || req.response.status == 429:
-			out.Refused++
-		default:
-			out.Unknown++
-		}
-		for _, v := range l.violations(req, exec) {
-			out.Violations = append(out.Violations, fmt.Sprintf("%s %s: %s", req.kind, id, v))
+		o := outcomeOf(req, exec)
+		out.count(req.kind, o)
+		found := append(l.violations(req, exec), unexplained(o, req, exec, circumstances(req))...)
+		for _, v := range found {
+			v.Detail = fmt.Sprintf("%s %s at %s, sent at %.3f s, ended at %.3f s: %s", req.kind, id, req.gateway, req.sentAt.Sub(start).Seconds(), req.endedAt.Sub(start).Seconds(), v.Detail)
+			out.Violations = append(out.Violations, v)
 		}
 	}
 	for id := range l.executions {
 		if _, ok := l.requests[id]; !ok {
-			out.Violations = append(out.Violations, "executed a request that no caller sent: "+id)
+			out.add("unasked", "executed a request that no caller sent: %s", id)
 		}
 	}
 	return out
 }
 
-// violations describes the violations of the invariants by one request.
-func (l *ledger) violations(req callerRecord, exec *endpointRecord) []string {
-	var out []string
+// outcomeOf returns the outcome of a request. One that was executed was whole.
+func outcomeOf(req callerRecord, exec *endpointRecord) Outcome {
+	o := req.response.outcome()
+	switch {
+	case exec.count == 0 || (o != CutInRequest && o != ClosedWhileIdle):
+		return o
+	case req.response.kept:
+		return NoAnswerKept
+	default:
+		return NoAnswerNew
+	}
+}
+
+// unexplained returns the violation in how a request ended, if nothing excuses it.
+func unexplained(o Outcome, req callerRecord, exec *endpointRecord, present cause) []Violation {
+	if excused(o, present) {
+		return nil
+	}
+	return []Violation{{o.String() + " without excuse", fmt.Sprintf("status %d, connection idle for %v, executed %d times, beside: %v",
+		req.response.status, req.response.idle.Round(time.Millisecond), exec.count, present)}}
+}
+
+// violations returns the violations of the other invariants by one request.
+func (l *ledger) violations(req callerRecord, exec *endpointRecord) []Violation {
+	var out []Violation
+	add := func(class, format string, args ...any) {
+		out = append(out, Violation{class, fmt.Sprintf(format, args...)})
+	}
 	atMostOnce := req.kind == "non-idempotent" || req.kind == "streaming"
 	if atMostOnce && exec.count > 1 {
-		out = append(out, fmt.Sprintf("executed %d times", exec.count))
+		add("executed twice", "executed %d times", exec.count)
 	}
 	if (req.response.status == 503 || req.response.status == 429) && exec.count > 0 {
-		out = append(out, fmt.Sprintf("answered %d although it was executed %d times", req.response.status, exec.count))
+		add("refused but executed", "answered %d although it was executed %d times", req.response.status, exec.count)
 	}
 	if req.response.violation != "" {
-		out = append(out, req.response.violation)
+		add("wrong body", "%s", req.response.violation)
 	}
 	if exec.violation != "" {
-		out = append(out, exec.violation)
+		add("wrong request", "%s", exec.violation)
 	}
 	if revokedAt, ok := l.revoked[req.key]; ok && req.sentAt.Sub(revokedAt) > keyRevocationDelay && exec.count > 0 {
-		out = append(out, fmt.Sprintf("executed with a key that had been revoked %v before it was sent", req.sentAt.Sub(revokedAt).Round(time.Millisecond)))
+		add("revoked key", "executed with a key that had been revoked %v before it was sent", req.sentAt.Sub(revokedAt).Round(time.Millisecond))
+	}
+	return out
+}
+
+// circumstances returns what may explain how a request ended.
+func (r *run) circumstances(req callerRecord) cause {
+	subjects := []string{req.gateway, routeSubject(req.kind)}
+	for _, s := range r.timeline.servicesOf(req.kind, req.sentAt, req.endedAt) {
+		subjects = append(subjects, serviceSubject(s))
+	}
+	out := r.timeline.between(req.sentAt, req.endedAt, subjects...)
+	delay := configDelay
+	if out&(storeAway|gatewayPaused) != 0 {
+		delay = oldestLimit
+		if out&routeStale != 0 {
+			out |= routeRemoved
+		}
+	}
+	if r.operator.keyUncertain(req.key, req.sentAt, req.endedAt, delay) {
+		out |= keyUncertain
+	}
+	if req.endedAt.Sub(req.sentAt) >= r.operator.shortestRouteTimeout(req.sentAt, req.endedAt)-timeOverSlack {
+		out |= timeOver
+	}
+	if req.response.announcedEnd {
+		out |= closeAnnounced
 	}
-	if req.gatewayUndisturbed && !req.response.complete && req.response.status == 0 && exec.count > 0 && !exec.duringFault {
-		out = append(out, "executed without a response although the gateway and the endpoint were undisturbed")
+	if req.response.left {
+		out |= ownEnd
 	}
 	return out
 }
--- /dev/null
+++ b/internal/soak/report.go
@@ -0,0 +1,87 @@
+package soak
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Violation is a broken invariant.
+type Violation struct{ Class, Detail string }
+
+func (v Violation) String() string { return v.Class + ": " + v.Detail }
+
+// Report is the result of a run.
+type Report struct {
+	Seed       uint64
+	Mix        int
+	Requests   int
+	Answered   int                           // complete 200 response
+	Resumed    int                           // requests that resume a stream at an undisturbed gateway, while two sound endpoints have its version
+	WentOn     int                           // those of them that brought an event
+	PeakMemory uint64                        // of the gateway that used most, in bytes
+	Outcomes   map[string]*[outcomeCount]int // number of requests by kind of route and outcome
+	Faults     []string                      // log of the injected faults, with their times
+	Violations []Violation
+}
+
+func (r *Report) count(kind string, o Outcome) {
+	if r.Outcomes[kind] == nil {
+		r.Outcomes[kind] = &[outcomeCount]int{}
+	}
+	r.Outcomes[kind][o]++
+	r.Requests++
+	if o == Answered {
+		r.Answered++
+	}
+}
+
+func (r *Report) add(class, format string, args ...any) {
+	r.Violations = append(r.Violations, Violation{class, fmt.Sprintf(format, args...)})
+}
+
+// Classes returns the number of violations of each class.
+func (r Report) Classes() map[string]int {
+	out := map[string]int{}
+	for _, v := range r.Violations {
+		out[v.Class]++
+	}
+	return out
+}
+
+// String formats the report as text, one line per kind of route and per violation.
+func (r Report) String() string {
+	out := fmt.Sprintf("seed %d, mix %d: %d requests, %d answered, %d of %d resumed streams went on, %d faults, at most %d MB, %d violations",
+		r.Seed, r.Mix, r.Requests, r.Answered, r.WentOn, r.Resumed, len(r.Faults), r.PeakMemory>>20, len(r.Violations))
+	for _, kind := range slices.Sorted(maps.Keys(r.Outcomes)) {
+		out += "\n  " + kind + ": " + outcomesText(r.Outcomes[kind])
+	}
+	for _, v := range r.Violations {
+		out += "\n  " + v.String()
+	}
+	return out
+}
+
+func outcomesText(counts *[outcomeCount]int) string {
+	var parts []string
+	for o, n := range counts {
+		if n > 0 {
+			parts = append(parts, fmt.Sprintf("%d %v", n, Outcome(o)))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+// save writes the report to a directory.
+func (r Report) save(dir string) error {
+	text := r.String() + "\n"
+	for _, f := range r.Faults {
+		text += f + "\n"
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(dir, "report.txt"), []byte(text), 0o644), "soak: report")
+}
--- a/internal/soak/seeds.go
+++ b/internal/soak/seeds.go
@@ -11,20 +11,27 @@
 //go:embed testdata/seeds.txt
 var failedSeeds string
 
-// FailedSeeds returns the regression seeds, which have failed in an earlier version, each with the cause of
-// its failure.
-func FailedSeeds() (map[uint64]string, error) {
-	out := map[uint64]string{}
+// FailedSeed is a regression seed, which has failed in an earlier version.
+type FailedSeed struct {
+	Seed  uint64
+	Mix   int // in which it has failed
+	Cause string
+}
+
+// FailedSeeds returns the regression seeds.
+func FailedSeeds() ([]FailedSeed, error) {
+	var out []FailedSeed
 	for line := range strings.Lines(failedSeeds) {
-		number, cause, _ := strings.Cut(strings.TrimSpace(line), " ")
-		if number == "" || number == "#" {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
-		var seed uint64
-		if _, err := fmt.Sscan(number, &seed); err != nil {
-			return nil, errors.Wrapf(err, "soak: seed %q", number)
+		var s FailedSeed
+		if _, err := fmt.Sscanf(line, "%d mix=%d", &s.Seed, &s.Mix); err != nil {
+			return nil, errors.Wrapf(err, "soak: seed %q", line)
 		}
-		out[seed] = cause
+		_, s.Cause, _ = strings.Cut(line, ": ")
+		out = append(out, s)
 	}
 	return out, nil
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,8 +7,9 @@
 //   - the body of a 200 response is exactly the one that the endpoint produces for that request, or a
 //     prefix of it if the response is truncated
 //   - a request that is sent with a revoked key is not executed once the revocation delay has passed
-//   - a request that is executed while neither its gateway nor its endpoint is disturbed gets a response;
-//     planned stops and reloads, which must lose no request, are no disturbances
+//   - a whole request gets a response, unless its gateway is killed or paused, or the grace period of a planned stop is
+//     over; a response of another status than 200, 503 and 429 and one that is truncated need a fault that explains them
+//     (see excuses). Planned stops, reloads, changes of the configuration and silent endpoints explain none
 //   - no stream holds events of two software versions, within one response or over the requests of its caller
 //   - of the streams that callers resume at undisturbed gateways while two sound endpoints have their version, the
 //     share that goes on is at least half of the share of new streams that begin
@@ -25,11 +26,12 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/dandelionvane/dandelionvane/platform/platformtest"
 )
 
 // Options configures one run.
@@ -40,6 +42,7 @@
 	Seed           uint64
 	Gateways       int           // number of processes
 	FaultDuration  time.Duration // time during which faults are started
+	Mix            int           // version of the mix of faults, 0 for the latest
 }
 
 const (
@@ -47,52 +50,31 @@
 	requestTimeout     = 4 * time.Second  // timeout of a request, for callers and gateways
 	recoveryTimeout    = 8 * time.Second  // limit from the end of the faults until allGatewaysServe holds
 	startTimeout       = 20 * time.Second // limit from the start until allGatewaysServe holds
-	callerCount        = 12
+	callerCount        = 12               // per group of gateways
+	gatewaysPerGroup   = 16               // for each of which there are more callers
+	firstKey           = "key-1"
 )
 
 // softwareVersions are the versions of the endpoints. At the start, half of the endpoints of a kind have each of
 // the first two.
 var softwareVersions = []string{"v1", "v1.1", "v1.2"}
 
-// Report is the result of a run.
-type Report struct {
-	Seed       uint64
-	Requests   int
-	Answered   int      // complete 200 response
-	Refused    int      // 429 or 503
-	Resumed    int      // requests that resume a stream at an undisturbed gateway, while two sound endpoints have its version
-	WentOn     int      // those of them that brought an event
-	Unknown    int      // no response, or any other one, such as 401, 5xx and truncated bodies
-	Faults     []string // log of the injected faults, with their times
-	Violations []string
-}
-
-// String formats the report as text, one line per violation.
-func (r Report) String() string {
-	out := fmt.Sprintf("seed %d: %d requests, %d answered, %d refused, %d unknown, %d of %d resumed streams went on, %d faults, %d violations",
-		r.Seed, r.Requests, r.Answered, r.Refused, r.Unknown, r.WentOn, r.Resumed, len(r.Faults), len(r.Violations))
-	for _, v := range r.Violations {
-		out += "\n  " + v
-	}
-	return out
-}
-
 // run is the state of one run.
 type run struct {
 	opts      Options
 	rng       *rand.Rand // chooses the faults; used by one goroutine only
+	timeline  *timeline
+	operator  *operator
 	fleet     *fleet
 	endpoints []*endpoint
 	ledger    *ledger
 	streams   streamLedger
 	startTime time.Time
 
-	mu            sync.Mutex
-	faultLog      []string
-	newestKey     string
-	validKeys     []string // oldest first
-	issuedKeys    []string // including revoked ones, oldest first
-	configVersion int      // version of the configuration published last
+	mu         sync.Mutex
+	faultLog   []string
+	newestKey  string
+	issuedKeys []string // including revoked ones, oldest first
 
 	activeFaults sync.WaitGroup // goroutines started by runAfter
 }
@@ -102,7 +84,13 @@
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return Report{}, errors.Wrap(err, "soak")
 	}
-	r := &run{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 7)), ledger: newLedger(), newestKey: "key-1", validKeys: []string{"key-1"}, issuedKeys: []string{"key-1"}, startTime: time.Now()}
+	if o.Mix == 0 {
+		o.Mix = LatestMix
+	}
+	if _, ok := mixes[o.Mix]; !ok {
+		return Report{}, errors.Errorf("soak: there is no mix %d", o.Mix)
+	}
+	r := &run{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 7)), timeline: &timeline{}, ledger: newLedger(), newestKey: firstKey, issuedKeys: []string{firstKey}, startTime: time.Now()}
 	if err := r.start(); err != nil {
 		r.close()
 		return Report{}, err
@@ -111,52 +99,65 @@
 	if !r.waitUntil(ctx, startTimeout, r.allGatewaysServe) {
 		return Report{}, errors.Errorf("soak: not every gateway is serving %v after the start; see the logs in %s", startTimeout, o.Dir)
 	}
-	callerCtx, stopCallers := context.WithCancel(ctx)
-	var wg sync.WaitGroup
-	for i := range callerCount {
-		wg.Go(func() { r.runCaller(callerCtx, i) })
-	}
-	for i := range streamCallerCount {
-		wg.Go(func() { r.runStreamCaller(callerCtx, i) })
-	}
+	stopCallers := r.startCallers(ctx)
 	r.injectFaults(ctx, time.Now().Add(o.FaultDuration))
 	r.restoreHealthyState()
 	recovered := r.waitUntil(ctx, recoveryTimeout, r.allGatewaysServe)
 	stopCallers()
-	wg.Wait()
-	report := r.ledger.report()
-	report.Seed, report.Faults = o.Seed, r.faultLog
+	report := r.report()
 	if !recovered && ctx.Err() == nil {
-		report.Violations = append(report.Violations, fmt.Sprintf("not every gateway is serving %v after the last fault", recoveryTimeout))
+		report.add("recovery", "not every gateway is serving %v after the last fault", recoveryTimeout)
 	}
-	report.Violations = append(report.Violations, r.streams.report()...)
-	report.Violations = append(report.Violations, r.fleet.processViolations()...)
-	report.Resumed, report.WentOn = r.streams.resumed, r.streams.wentOn
-	return report, r.save(report)
+	return report, report.save(o.Dir)
 }
 
-func (r *run) save(report Report) error {
-	text := report.String() + "\n"
-	for _, f := range report.Faults {
-		text += f + "\n"
+// startCallers starts the callers. The returned function ends them and waits for their last requests.
+func (r *run) startCallers(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	groups := 1 + r.opts.Gateways/gatewaysPerGroup
+	for i := range callerCount * groups {
+		wg.Go(func() { r.runCaller(ctx, i) })
+	}
+	for i := range streamCallerCount * groups {
+		wg.Go(func() { r.runStreamCaller(ctx, i) })
+	}
+	for i := range mixes[r.opts.Mix].burstCallers * groups {
+		wg.Go(func() { r.runBurstCaller(ctx, i) })
 	}
-	return errors.Wrap(os.WriteFile(filepath.Join(r.opts.Dir, "report.txt"), []byte(text), 0o644), "soak: report")
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// report collects the results of all ledgers.
+func (r *run) report() Report {
+	out := r.ledger.report(r.startTime, r.circumstances)
+	out.Seed, out.Mix, out.Faults = r.opts.Seed, r.opts.Mix, r.faultLog
+	out.Violations = append(out.Violations, r.streams.report()...)
+	r.fleet.addMemoryViolations()
+	out.Violations = append(out.Violations, r.fleet.processViolations()...)
+	out.Resumed, out.WentOn = r.streams.resumed, r.streams.wentOn
+	out.PeakMemory = r.fleet.peakMemory()
+	return out
 }
 
 func (r *run) start() error {
 	var err error
-	if r.fleet, err = startFleet(r.opts); err != nil {
+	if r.fleet, err = startFleet(r.opts, r.timeline); err != nil {
 		return err
 	}
+	r.operator = newOperator(r.fleet.store, r.timeline, firstKey, mixes[r.opts.Mix].idleTimeout)
 	for i := range endpointsPerKind * len(routeKinds) {
-		e, err := startEndpoint(fmt.Sprintf("i-%d", i), routeKinds[i%len(routeKinds)], softwareVersions[i/len(routeKinds)%2], r.ledger)
+		e, err := startEndpoint(fmt.Sprintf("i-%d", i), routeKinds[i%len(routeKinds)], softwareVersions[i/len(routeKinds)%2], r.ledger, r.timeline)
 		if err != nil {
 			return err
 		}
 		r.endpoints = append(r.endpoints, e)
 		r.fleet.store.Write(e.item(false))
 	}
-	r.fleet.store.Write(r.nextConfig())
+	r.operator.publish(func(*platformtest.ConfigEntry) {})
 	return nil
 }
 
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -11,14 +10,11 @@
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/ctxtime"
-	"github.com/dandelionvane/dandelionvane/platform/platformtest"
 )
 
 const (
 	streamCallerCount = 8
 	maxStreamTries    = 3
-	// wholeResponse is more than the size of any response, in bytes.
-	wholeResponse = 1 << 20
 	// minResumes is the number of resumed streams from which their share is compared.
 	minResumes = 12
 	// maxMixedStreams is how many streams may hold events of two software versions.
@@ -75,12 +71,12 @@
 	started, began int // new streams at undisturbed gateways, and those of them that began
 	resumed        int // requests to undisturbed gateways that resume a stream of a version with two sound endpoints
 	wentOn         int // those of them that brought an event
-	mixed          []string
-	violations     []string
+	mixed          []Violation
+	violations     []Violation
 }
 
 // report returns the violations: streams of two versions, wrong events, and too few resumed streams that went on.
-func (l *streamLedger) report() []string {
+func (l *streamLedger) report() []Violation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := l.violations
@@ -88,7 +84,7 @@
 		out = append(out, l.mixed...)
 	}
 	if l.resumed >= minResumes && 2*l.wentOn*l.started < l.resumed*l.began {
-		out = append(out, fmt.Sprintf("%d of %d resumed streams went on, but %d of %d new ones began", l.wentOn, l.resumed, l.began, l.started))
+		out = append(out, Violation{"resumes", fmt.Sprintf("%d of %d resumed streams went on, but %d of %d new ones began", l.wentOn, l.resumed, l.began, l.started)})
 	}
 	return out
 }
@@ -97,10 +93,10 @@
 // resumes what it left or lost at a random gateway.
 func (r *run) runStreamCaller(ctx context.Context, n int) {
 	rng := rand.New(rand.NewPCG(r.opts.Seed, uint64(1000+n)))
-	t := &http.Transport{MaxIdleConnsPerHost: 2}
-	defer t.CloseIdleConnections()
+	p := newPool(r)
+	defer p.close()
 	for ctx.Err() == nil {
-		st := &callerStream{run: r, rng: rng, transport: t, versions: map[string]bool{}}
+		st := &callerStream{run: r, rng: rng, pool: p, versions: map[string]bool{}}
 		for try := 0; try < maxStreamTries && st.last < streamEvents && ctx.Err() == nil; try++ {
 			st.request(ctx)
 		}
@@ -113,7 +109,7 @@
 type callerStream struct {
 	run       *run
 	rng       *rand.Rand
-	transport http.RoundTripper
+	pool      *pool
 	origin    string // ID of the request that brought the first event
 	last      uint64
 	versions  map[string]bool
@@ -124,10 +120,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(st.versions) > 1 {
-		l.mixed = append(l.mixed, fmt.Sprintf("stream %s holds events of two versions", st.origin))
+		l.mixed = append(l.mixed, Violation{"two versions", fmt.Sprintf("stream %s holds events of two versions", st.origin)})
 	}
 	if st.violation != "" {
-		l.violations = append(l.violations, fmt.Sprintf("stream %s: %s", st.origin, st.violation))
+		l.violations = append(l.violations, Violation{"wrong stream", fmt.Sprintf("stream %s: %s", st.origin, st.violation)})
 	}
 }
 
@@ -136,23 +132,23 @@
 func (st *callerStream) request(ctx context.Context) {
 	r := st.run
 	g := r.fleet.gateways[st.rng.IntN(len(r.fleet.gateways))]
-	limit := int64(wholeResponse)
+	q := outgoing{gateway: g, kind: "resumable", key: r.currentKey(), origin: st.origin, lastEvent: st.last}
 	if st.rng.IntN(3) == 0 {
-		limit = int64(len(streamEvent(r.nextID(), 1, "v1.1")) * (1 + st.rng.IntN(3)))
-	}
-	resumes, offered := st.last > 0, r.versionOffered(st.versions)
-	id, sentAt := r.nextID(), time.Now()
-	rec := callerRecord{kind: "resumable", key: r.currentKey(), sentAt: sentAt}
-	text := st.receive(ctx, g, id, rec.key, limit, &rec.response)
-	rec.response.complete = rec.response.complete && text.last == streamEvents
-	rec.gatewayUndisturbed = g.undisturbedSince(sentAt) && limit == wholeResponse
-	r.ledger.recordRequest(id, rec)
-	if text.violation != "" {
-		st.violation = text.violation
-	}
-	goesOn := text.last > st.last || rec.response.complete
+		q.limit = int64(len(streamEvent(r.nextID(), 1, "v1.1")) * (1 + st.rng.IntN(3)))
+	}
+	resumes, offered, sentAt := st.last > 0, r.versionOffered(st.versions), time.Now()
+	o := r.send(ctx, st.pool, q)
+	if o.id == "" {
+		return // no connection
+	}
+	text := streamText{last: st.last}
+	if o.status == http.StatusOK {
+		text = parseStream(o.id, o.text, st.last)
+		st.violation = o.violation
+	}
+	goesOn := text.last > st.last || (o.complete && o.status == http.StatusOK)
 	if !resumes && goesOn {
-		st.origin = id
+		st.origin = o.id
 	}
 	st.last = text.last
 	for v := range text.versions {
@@ -180,40 +176,12 @@
 	}
 }
 
-// receive sends a request and parses at most limit bytes of its response.
-func (st *callerStream) receive(ctx context.Context, g *gateway, id, key string, limit int64, o *response) streamText {
-	none := streamText{last: st.last}
-	reqCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(reqCtx, http.MethodPost, "http://"+g.callerAddr+"/resumable/x", strings.NewReader("body of "+id))
-	if err != nil {
-		o.violation = err.Error()
-		return none
-	}
-	req.GetBody = nil // keeps the transport from retrying the request
-	platformtest.SetCallerHeaders(req, id, key, requestTimeout)
-	if st.last > 0 {
-		platformtest.SetResumeHeaders(req, st.origin, st.last)
-	}
-	resp, err := st.transport.RoundTrip(req)
-	if err != nil {
-		return none
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
-	o.status, o.complete = resp.StatusCode, err == nil
-	if resp.StatusCode != http.StatusOK {
-		return none
-	}
-	text := parseStream(id, string(body), st.last)
-	if o.complete && text.violation == "" && limit == wholeResponse && text.last != streamEvents {
-		text.violation = fmt.Sprintf("a response that ends normally after event %d of %d", text.last, streamEvents)
-	}
-	return text
-}
-
-// versionOffered reports whether two sound endpoints of resumable streams have the version of a stream.
+// versionOffered reports whether resumable streams are at their own service, and two of its sound endpoints have the
+// version of a stream.
 func (r *run) versionOffered(versions map[string]bool) bool {
+	if r.operator.isMoved("resumable") {
+		return false
+	}
 	n := 0
 	for _, e := range r.endpoints {
 		if e.kind == "resumable" && versions[e.soundVersion()] {
