soak: bursts of requests meet silent endpoints

An endpoint that is sound and only silent is no reason for a 502 or a cut. Now bursts run at several gateways while all endpoints of a service are silent in series.

A report prints the first five violations of a class; report.txt has all.

--- a/internal/soak/burst.go
+++ b/internal/soak/burst.go
@@ -11,6 +11,7 @@
 
 const (
 	burstConns        = 64 // connections of a burst
+	burstGateways     = 8  // that get bursts at the same time, at most
 	burstPollInterval = 10 * time.Millisecond
 )
 
@@ -18,12 +19,13 @@
 type burst struct {
 	run     *run
 	gateway *gateway
+	kinds   []string // of the requests, in turn
 	pools   [burstConns]*pool
 }
 
 // openBurst opens the connections with a request on each.
-func (r *run) openBurst(g *gateway) *burst {
-	b := &burst{run: r, gateway: g}
+func (r *run) openBurst(g *gateway, kinds ...string) *burst {
+	b := &burst{run: r, gateway: g, kinds: kinds}
 	for i := range b.pools {
 		b.pools[i] = newPool(r)
 	}
@@ -35,7 +37,7 @@
 func (b *burst) send(spread time.Duration) {
 	var wg sync.WaitGroup
 	for i, p := range b.pools {
-		q := outgoing{gateway: b.gateway, kind: routeKinds[i%len(routeKinds)], key: b.run.currentKey()}
+		q := outgoing{gateway: b.gateway, kind: b.kinds[i%len(b.kinds)], key: b.run.currentKey()}
 		wg.Go(func() {
 			time.Sleep(spread * time.Duration(i) / burstConns)
 			b.run.send(context.Background(), p, q)
@@ -44,6 +46,15 @@
 	wg.Wait()
 }
 
+// pickBurstGateways returns up to burstGateways gateways.
+func (r *run) pickBurstGateways() []*gateway {
+	var out []*gateway
+	for _, i := range r.rng.Perm(len(r.fleet.gateways))[:min(burstGateways, len(r.fleet.gateways))] {
+		out = append(out, r.fleet.gateways[i])
+	}
+	return out
+}
+
 func (b *burst) close() {
 	for _, p := range b.pools {
 		p.close()
@@ -61,7 +72,7 @@
 			ctxtime.Sleep(ctx, burstPollInterval)
 			continue
 		}
-		b := r.openBurst(g)
+		b := r.openBurst(g, routeKinds...)
 		ctxtime.Sleep(ctx, usable/4+time.Duration(rng.Int64N(int64(usable*3/4))))
 		b.send(0)
 		b.close()
--- a/internal/soak/memory.go
+++ b/internal/soak/memory.go
@@ -43,25 +43,15 @@
 	return 0
 }
 
-// peakMemory returns the memory of the gateway that has used most, in bytes.
-func (f *fleet) peakMemory() uint64 {
-	var out uint64
-	for _, g := range f.gateways {
-		g.mu.Lock()
-		out = max(out, g.peakMemory)
-		g.mu.Unlock()
-	}
-	return out
-}
-
-// addMemoryViolations records the gateways that have used more than memoryLimit.
-func (f *fleet) addMemoryViolations() {
+// addMemory adds the memory of the gateway that has used most to a report, and those that have used more than memoryLimit.
+func (f *fleet) addMemory(out *Report) {
 	for _, g := range f.gateways {
 		g.mu.Lock()
 		peak := g.peakMemory
 		g.mu.Unlock()
+		out.PeakMemory = max(out.PeakMemory, peak)
 		if peak > memoryLimit {
-			f.addViolation("memory", "%s has used %d MB", g.name, peak>>20)
+			out.add("memory", "%s has used %d MB", g.name, peak>>20)
 		}
 	}
 }
--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -28,7 +28,7 @@
 	faultsOfMix2 = append(slices.Clone(faultsOfMix1),
 		(*run).shortenIdleTimeout, (*run).shortenIdleTimeout, (*run).shortenRouteTimeout, (*run).moveRoute, (*run).moveRoute, (*run).splitRoute,
 		(*run).removeRoute, (*run).emptyService, (*run).keyStorm, (*run).configStorm, (*run).configStorm,
-		(*run).silentEndpoint, (*run).silentService, (*run).silentService, (*run).endlessEndpoint,
+		(*run).silentEndpoint, (*run).silentService, (*run).silentServiceMetByBursts, (*run).silentServiceMetByBursts, (*run).endlessEndpoint,
 		(*run).reloadChangedSettings, (*run).reloadBrokenSettings, (*run).stopDuringChanges, (*run).stopDuringChanges, (*run).stopGateway,
 		(*run).throttleGateway, (*run).stopMetByBurst, (*run).stopMetByBurst, (*run).idleChangeMetByBurst, (*run).idleChangeMetByBurst,
 	)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -11,6 +12,9 @@
 	"github.com/pkg/errors"
 )
 
+// maxPrintedPerClass is how many violations of a class are printed; report.txt has all.
+const maxPrintedPerClass = 5
+
 // Violation is a broken invariant.
 type Violation struct{ Class, Detail string }
 
@@ -55,15 +59,25 @@
 	return out
 }
 
-// String formats the report as text, one line per kind of route and per violation.
-func (r Report) String() string {
+// String formats the report as text, one line per kind of route and per violation, but only the first violations of a class.
+func (r Report) String() string { return r.text(maxPrintedPerClass) }
+
+func (r Report) text(maxPerClass int) string {
 	out := fmt.Sprintf("seed %d, mix %d: %d requests, %d answered, %d of %d resumed streams went on, %d faults, at most %d MB, %d violations",
 		r.Seed, r.Mix, r.Requests, r.Answered, r.WentOn, r.Resumed, len(r.Faults), r.PeakMemory>>20, len(r.Violations))
 	for _, kind := range slices.Sorted(maps.Keys(r.Outcomes)) {
 		out += "\n  " + kind + ": " + outcomesText(r.Outcomes[kind])
 	}
+	printed := map[string]int{}
 	for _, v := range r.Violations {
-		out += "\n  " + v.String()
+		if printed[v.Class]++; printed[v.Class] <= maxPerClass {
+			out += "\n  " + v.String()
+		}
+	}
+	for class, n := range r.Classes() {
+		if n > maxPerClass {
+			out += fmt.Sprintf("\n  %s: %d more in report.txt", class, n-maxPerClass)
+		}
 	}
 	return out
 }
@@ -80,6 +94,6 @@
 
 // save writes the report to a directory.
 func (r Report) save(dir string) error {
-	text := strings.Join(slices.Concat([]string{r.String()}, r.Faults, r.Excused), "\n") + "\n"
+	text := strings.Join(slices.Concat([]string{r.text(math.MaxInt)}, r.Faults, r.Excused), "\n") + "\n"
 	return errors.Wrap(os.WriteFile(filepath.Join(dir, "report.txt"), []byte(text), 0o644), "soak: report")
 }
--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -7,6 +7,8 @@
 	maxSilence   = 2 * time.Second
 	silences     = 3                      // of a series
 	silencePause = 200 * time.Millisecond // between two silences of a series
+	// silenceBurstSpread is longer than a stream, so that a silence meets requests before and within their responses.
+	silenceBurstSpread = 200 * time.Millisecond
 )
 
 // silentEndpoint makes an endpoint silent, several times in series.
@@ -23,6 +25,22 @@
 	r.silence(r.endpointsOf(service))
 }
 
+// silentServiceMetByBursts makes all endpoints of a service silent, while bursts of requests for it run at several gateways.
+func (r *run) silentServiceMetByBursts(time.Duration) {
+	service := r.pickRoute()
+	r.logFault("all endpoints of %s: silences in series, met by bursts", service)
+	for _, g := range r.pickBurstGateways() {
+		r.runAfter(0, func() {
+			b := r.openBurst(g, service)
+			defer b.close()
+			for range silences {
+				b.send(silenceBurstSpread)
+			}
+		})
+	}
+	r.silence(r.endpointsOf(service))
+}
+
 func (r *run) silence(endpoints []*endpoint) {
 	var lengths [silences]time.Duration
 	for i := range lengths {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -136,10 +136,9 @@
 	out := r.ledger.report(r.startTime, r.circumstances)
 	out.Seed, out.Mix, out.Faults = r.opts.Seed, r.opts.Mix, r.faultLog
 	out.Violations = append(out.Violations, r.streams.report()...)
-	r.fleet.addMemoryViolations()
+	r.fleet.addMemory(&out)
 	out.Violations = append(out.Violations, r.fleet.processViolations()...)
 	out.Resumed, out.WentOn = r.streams.resumed, r.streams.wentOn
-	out.PeakMemory = r.fleet.peakMemory()
 	return out
 }
 
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -72,14 +72,13 @@
 	resumed        int // requests to undisturbed gateways that resume a stream of a version with two sound endpoints
 	wentOn         int // those of them that brought an event
 	mixed          []Violation
-	violations     []Violation
 }
 
-// report returns the violations: streams of two versions, wrong events, and too few resumed streams that went on.
+// report returns the violations: streams of two versions, and too few resumed streams that went on.
 func (l *streamLedger) report() []Violation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := l.violations
+	var out []Violation
 	if len(l.mixed) > maxMixedStreams {
 		out = append(out, l.mixed...)
 	}
@@ -107,13 +106,12 @@
 
 // callerStream is one stream of a caller over several requests.
 type callerStream struct {
-	run       *run
-	rng       *rand.Rand
-	pool      *pool
-	origin    string // ID of the request that brought the first event
-	last      uint64
-	versions  map[string]bool
-	violation string
+	run      *run
+	rng      *rand.Rand
+	pool     *pool
+	origin   string // ID of the request that brought the first event
+	last     uint64
+	versions map[string]bool
 }
 
 func (l *streamLedger) record(st *callerStream) {
@@ -122,9 +120,6 @@
 	if len(st.versions) > 1 {
 		l.mixed = append(l.mixed, Violation{"two versions", fmt.Sprintf("stream %s holds events of two versions", st.origin)})
 	}
-	if st.violation != "" {
-		l.violations = append(l.violations, Violation{"wrong stream", fmt.Sprintf("stream %s: %s", st.origin, st.violation)})
-	}
 }
 
 // request sends one request for the rest of the stream to a random gateway. Every third time, the caller
@@ -144,7 +139,6 @@
 	text := streamText{last: st.last}
 	if o.status == http.StatusOK {
 		text = parseStream(o.id, o.text, st.last)
-		st.violation = o.violation
 	}
 	goesOn := text.last > st.last || (o.complete && o.status == http.StatusOK)
 	if !resumes && goesOn {
--- a/internal/soak/throttle.go
+++ b/internal/soak/throttle.go
@@ -12,7 +12,6 @@
 	stopBurstSpread  = 200 * time.Millisecond
 	idleBeforeChange = 1200 * time.Millisecond // from the opening of the connections to the change and the burst
 	idleChangeSpread = 1600 * time.Millisecond
-	burstGateways    = 8 // that get bursts at the same time
 )
 
 // A throttled process runs for throttleRuns of each throttlePeriod, like an instance of the platform with a fifth of a
@@ -33,7 +32,7 @@
 	g := r.pickGateway()
 	r.logFault("%s: planned stop while throttled, met by a burst", g.name)
 	r.runAfter(0, func() {
-		b := r.openBurst(g)
+		b := r.openBurst(g, routeKinds...)
 		defer b.close()
 		r.throttle(g, stopTimeout)
 		var sent sync.WaitGroup
@@ -52,10 +51,9 @@
 // connections while the change comes in force.
 func (r *run) idleChangeMetByBurst(d time.Duration) {
 	r.logFault("up to %d gateways: throttled for %v, met by a burst while the idle timeout becomes shorter", burstGateways, 2*configDelay)
-	for _, i := range r.rng.Perm(len(r.fleet.gateways))[:min(burstGateways, len(r.fleet.gateways))] {
-		g := r.fleet.gateways[i]
+	for _, g := range r.pickBurstGateways() {
 		r.runAfter(0, func() {
-			b := r.openBurst(g)
+			b := r.openBurst(g, routeKinds...)
 			defer b.close()
 			r.throttle(g, 2*configDelay)
 			time.Sleep(idleBeforeChange)
