soak: a 408 is a promise, and needs an excuse of its own

Responses without end come at 32 MB/s, as one at 8 MB/s stays within the memory of an instance until its request ends.

--- a/internal/soak/excuse.go
+++ b/internal/soak/excuse.go
@@ -57,6 +57,7 @@
 var excuses = [outcomeCount]cause{
 	Unauthorized:    keyUncertain,
 	NotFound:        routeRemoved,
+	BodyLate:        gatewayPaused,
 	EndpointFailure: endpointFailing,
 	BadGateway:      brokenOff | gatewayPaused,
 	GatewayTimeout:  timeOver | gatewayPaused,
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -121,7 +123,7 @@
 	if atMostOnce && exec.count > 1 {
 		add("executed twice", "executed %d times", exec.count)
 	}
-	if (req.response.status == 503 || req.response.status == 429) && exec.count > 0 {
+	if promisesNotRun(req.response.status) && exec.count > 0 {
 		add("refused but executed", "answered %d although it was executed %d times", req.response.status, exec.count)
 	}
 	if req.response.violation != "" {
@@ -136,6 +138,11 @@
 	return out
 }
 
+// promisesNotRun reports whether a status promises that the request has not run and does not run later.
+func promisesNotRun(status int) bool {
+	return slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, status)
+}
+
 // circumstances returns what may explain how a request ended.
 func (r *run) circumstances(req callerRecord) cause {
 	subjects := []string{req.gateway, routeSubject(req.kind)}
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -31,6 +31,7 @@
 		"stream executed twice":            {callerRecord{kind: "streaming", response: withStatus(200, false)}, 2, endpointBroken, "", "executed twice"},
 		"refused but executed":             {callerRecord{kind: "idempotent", response: withStatus(503, true)}, 1, 0, "", "refused but executed"},
 		"refused, not executed":            {callerRecord{kind: "idempotent", response: withStatus(503, true)}, 0, 0, "", ""},
+		"late body, executed":              {callerRecord{kind: "idempotent", response: withStatus(408, true)}, 1, gatewayPaused, "", "refused but executed"},
 		"wrong response":                   {callerRecord{kind: "idempotent", response: wrongBody}, 1, 0, "", "wrong body"},
 		"revoked key":                      {callerRecord{kind: "idempotent", key: "k", sentAt: now, response: withStatus(200, true)}, 1, 0, "k", "revoked key"},
 		"revoked key, refused":             {callerRecord{kind: "idempotent", key: "k", sentAt: now, response: withStatus(401, true)}, 0, keyUncertain, "k", ""},
@@ -71,6 +72,7 @@
 	for o, want := range map[Outcome]cause{
 		Unauthorized:    keyUncertain,
 		NotFound:        routeRemoved,
+		BodyLate:        gatewayPaused,
 		ClientError:     none,
 		EndpointFailure: endpointFailing,
 		BadGateway:      endpointBroken | endpointFailing | endpointLink | gatewayPaused,
--- a/internal/soak/modes.go
+++ b/internal/soak/modes.go
@@ -34,9 +34,9 @@
 	// one of.
 	pauseLength = 2 * time.Second
 
-	// Responses without end are sent in chunks, of which one follows the other after endlessInterval (8 MB/s), for up to
+	// Responses without end are sent in chunks, of which one follows the other after endlessInterval (32 MB/s), for up to
 	// endlessDuration.
-	endlessChunk    = 32 << 10
+	endlessChunk    = 128 << 10
 	endlessInterval = 4 * time.Millisecond
 	endlessDuration = 10 * time.Second
 )
--- a/internal/soak/outcome.go
+++ b/internal/soak/outcome.go
@@ -14,6 +14,7 @@
 	Refused                        // complete 503 or 429, which promise that the request does not run
 	Unauthorized                   // complete 401
 	NotFound                       // complete 404
+	BodyLate                       // complete 408, which promises that the request does not run
 	ClientError                    // any other complete 4xx response
 	EndpointFailure                // complete 500 response of an endpoint
 	BadGateway                     // complete 502
@@ -32,7 +33,7 @@
 
 func (o Outcome) String() string {
 	return [...]string{
-		"answered", "refused", "401", "404", "other 4xx", "500 of an endpoint", "502", "504", "other status", "not connected",
+		"answered", "refused", "401", "404", "408", "other 4xx", "500 of an endpoint", "502", "504", "other status", "not connected",
 		"cut in the request", "closed while idle", "no answer, new connection", "no answer, kept connection", "truncated", "caller's deadline", "caller left",
 	}[o]
 }
@@ -91,6 +92,8 @@
 		return Unauthorized
 	case status == http.StatusNotFound:
 		return NotFound
+	case status == http.StatusRequestTimeout:
+		return BodyLate
 	case status >= 400 && status < 500:
 		return ClientError
 	case status == http.StatusInternalServerError && stamped:
