soak: a fault of another endpoint explains no truncated response

A stream that has begun was executed: only faults of the endpoints that executed it explain its end now. TestTruncatedResponseNeedsAFaultyEndpointThatExecutedIt.

--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/dandelionvane/dandelionvane/internal/published"
 	"github.com/dandelionvane/dandelionvane/platform/platformtest"
 )
 
@@ -60,12 +59,10 @@
 }
 
 // publishAgain writes the configuration that was published last once more.
-func (o *operator) publishAgain() { o.store.Write(o.current()) }
-
-func (o *operator) current() published.Item {
+func (o *operator) publishAgain() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.config.Item()
+	o.store.Write(o.config.Item())
 }
 
 // withdrawing records that a key is taken away from now on.
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -92,7 +92,7 @@
 	e.mode, e.lastDisturbance = m, time.Now()
 	e.endMode()
 	if c := m.cause(); c != 0 {
-		e.endMode = e.timeline.begin(c, serviceSubject(e.kind))
+		e.endMode = e.timeline.begin(c, e.id)
 	}
 }
 
@@ -101,7 +101,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.silentUntil, e.lastDisturbance = time.Now().Add(d), time.Now()
-	e.timeline.mark(endpointSilent, serviceSubject(e.kind), d)
+	e.timeline.mark(endpointSilent, e.id, d)
 }
 
 // awaitSilence returns when the endpoint is no longer silent, or the context of a request is done.
@@ -119,7 +119,7 @@
 	e.lastDisturbance = time.Now()
 	e.endLinkFault()
 	if f != (link.Faults{}) {
-		e.endLinkFault = e.timeline.begin(endpointLink, serviceSubject(e.kind))
+		e.endLinkFault = e.timeline.begin(endpointLink, e.id)
 	}
 	e.mu.Unlock()
 	e.link.Inject(f)
@@ -149,7 +149,7 @@
 		platformtest.Refuse(w, pauseLength)
 		return
 	}
-	e.ledger.recordExecution(f.ID, violation)
+	e.ledger.recordExecution(f.ID, e.id, violation)
 	if respondEndlessly(w, m, f.ID) {
 		return
 	}
--- a/internal/soak/excuse.go
+++ b/internal/soak/excuse.go
@@ -5,8 +5,8 @@
 // cause is a set of circumstances that may explain how a request ended.
 type cause uint32
 
-// The circumstances. Those of a gateway concern the gateway to which the request was sent, those of endpoints the
-// endpoints of the services to which its route may have led.
+// The circumstances. Those of a gateway concern the gateway to which the request was sent; see run.circumstances for
+// those of endpoints.
 const (
 	gatewayKilled    cause = 1 << iota // the process was killed
 	gatewayPaused                      // the process was paused, or had been until shortly before
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -104,12 +104,10 @@
 	r.runAfter(d/2, func() {
 		r.logFault("store returns with a copy of %v before", (d / 2).Round(time.Millisecond))
 		r.markAllDisturbed()
-		end := r.timeline.begin(storeAway, "")
-		defer end()
+		defer r.beginStoreAway("")()
 		r.fleet.store.Restore(copied)
 		time.Sleep(republishDelay)
 		r.operator.publishAgain()
-		r.timeline.mark(storeAway, "", contactDelay)
 		for _, e := range r.endpoints {
 			r.fleet.store.Write(e.item(false))
 		}
@@ -135,16 +133,24 @@
 	d += keyRevocationDelay
 	r.logFault("store down for %v", d)
 	r.markAllDisturbed()
-	end := r.timeline.begin(storeAway, "")
+	end := r.beginStoreAway("")
 	r.fleet.store.Down.Store(true)
 	r.runAfter(d, func() {
 		r.markAllDisturbed()
 		r.fleet.store.Down.Store(false)
 		end()
-		r.timeline.mark(storeAway, "", contactDelay)
 	})
 }
 
+// beginStoreAway records that a gateway, or all for "", can't read the store until contactDelay after end is called.
+func (r *run) beginStoreAway(gateway string) (end func()) {
+	endNow := r.timeline.begin(storeAway, gateway)
+	return func() {
+		endNow()
+		r.timeline.mark(storeAway, gateway, contactDelay)
+	}
+}
+
 func (r *run) markAllDisturbed() {
 	for _, g := range r.fleet.gateways {
 		g.markDisturbed()
@@ -158,13 +164,12 @@
 	g, f := r.pickGateway(), linkFaults[r.rng.IntN(len(linkFaults))]
 	r.logFault("link of %s to the store: %+v for %v", g.name, f, d)
 	g.markDisturbed()
-	end := r.timeline.begin(storeAway, g.name)
+	end := r.beginStoreAway(g.name)
 	g.storeLink.Inject(f)
 	r.runAfter(d, func() {
 		g.markDisturbed()
 		g.storeLink.Inject(link.Faults{})
 		end()
-		r.timeline.mark(storeAway, g.name, contactDelay)
 	})
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -23,8 +23,9 @@
 
 // endpointRecord is one request as the endpoints observed it.
 type endpointRecord struct {
-	count     int    // number of executions
-	violation string // in the request as forwarded, "" if none
+	count     int      // number of executions
+	endpoints []string // IDs of the endpoints that executed it
+	violation string   // in the request as forwarded, "" if none
 }
 
 // ledger records what callers and endpoints observe of each request, and compares the two.
@@ -52,7 +53,7 @@
 }
 
 // recordExecution records that an endpoint executes a request.
-func (l *ledger) recordExecution(id string, violation string) {
+func (l *ledger) recordExecution(id, endpoint, violation string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	exec := l.executions[id]
@@ -61,6 +62,7 @@
 		l.executions[id] = exec
 	}
 	exec.count++
+	exec.endpoints = append(exec.endpoints, endpoint)
 	if violation != "" {
 		exec.violation = violation
 	}
@@ -68,7 +70,7 @@
 
 // report compares the records of callers and endpoints. It counts the requests and lists the violations. circumstances
 // returns what may explain how a request ended.
-func (l *ledger) report(start time.Time, circumstances func(callerRecord) cause) Report {
+func (l *ledger) report(start time.Time, circumstances func(Outcome, callerRecord, *endpointRecord) cause) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := Report{Outcomes: map[string]*[outcomeCount]int{}}
@@ -79,7 +81,7 @@
 		}
 		o := outcomeOf(req, exec)
 		out.count(req.kind, o)
-		present := circumstances(req)
+		present := circumstances(o, req, exec)
 		where := fmt.Sprintf("%s %s at %s, sent at %.3f s, ended at %.3f s", req.kind, id, req.gateway, req.sentAt.Sub(start).Seconds(), req.endedAt.Sub(start).Seconds())
 		how := fmt.Sprintf("%s: status %d, connection idle for %v, executed %d times, beside: %v", where, req.response.status, req.response.idle.Round(time.Millisecond), exec.count, present)
 		switch {
@@ -143,11 +145,18 @@
 	return slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, status)
 }
 
-// circumstances returns what may explain how a request ended.
-func (r *run) circumstances(req callerRecord) cause {
-	subjects := []string{req.gateway, routeSubject(req.kind)}
+// circumstances returns what may explain how a request ended. The endpoints that matter are those of the services to
+// which its route may have led; for a truncated response only those that executed the request, of which one has begun it.
+func (r *run) circumstances(o Outcome, req callerRecord, exec *endpointRecord) cause {
+	subjects := append([]string{req.gateway, routeSubject(req.kind)}, exec.endpoints...)
 	for _, s := range r.timeline.servicesOf(req.kind, req.sentAt, req.endedAt) {
 		subjects = append(subjects, serviceSubject(s))
+		if o == Truncated && exec.count > 0 {
+			continue
+		}
+		for _, e := range r.endpointsOf(s) {
+			subjects = append(subjects, e.id)
+		}
 	}
 	out := r.timeline.between(req.sentAt, req.endedAt, subjects...)
 	delay := configDelay
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -45,12 +45,12 @@
 		l := newLedger()
 		l.recordRequest("id", tc.request)
 		for range tc.executions {
-			l.recordExecution("id", "")
+			l.recordExecution("id", "i-1", "")
 		}
 		if tc.key != "" {
 			l.revoked[tc.key] = now.Add(-2 * keyRevocationDelay)
 		}
-		got := l.report(now, func(callerRecord) cause { return tc.present }).Violations
+		got := l.report(now, func(Outcome, callerRecord, *endpointRecord) cause { return tc.present }).Violations
 		if (tc.want == "") != (len(got) == 0) || len(got) > 1 || (len(got) == 1 && got[0].Class != tc.want) {
 			t.Errorf("%s: got %q, want %q", name, got, tc.want)
 		}
@@ -60,7 +60,7 @@
 // TestUnaskedExecution checks that an execution of a request that nobody sent is a violation.
 func TestUnaskedExecution(t *testing.T) {
 	l := newLedger()
-	l.recordExecution("id", "")
+	l.recordExecution("id", "i-1", "")
 	if got := l.report(time.Now(), nil).Violations; len(got) != 1 || got[0].Class != "unasked" {
 		t.Errorf("%q", got)
 	}
@@ -151,3 +151,27 @@
 		}
 	}
 }
+
+// TestTruncatedResponseNeedsAFaultyEndpointThatExecutedIt checks that faults of other endpoints explain no truncated
+// response, but may explain a 502.
+func TestTruncatedResponseNeedsAFaultyEndpointThatExecutedIt(t *testing.T) {
+	now := time.Now()
+	tl := &timeline{}
+	r := &run{timeline: tl, operator: newOperator(nil, tl, firstKey, 0), endpoints: []*endpoint{{id: "i-1", kind: "resumable"}, {id: "i-2", kind: "resumable"}}}
+	tl.add(&span{cause: endpointLink, subject: "i-2", from: now, to: now.Add(time.Second)})
+	req := callerRecord{kind: "resumable", key: firstKey, sentAt: now, endedAt: now.Add(time.Second)}
+	for _, tc := range []struct {
+		outcome  Outcome
+		executed []string
+		want     bool
+	}{
+		{Truncated, []string{"i-1"}, false},
+		{Truncated, []string{"i-1", "i-2"}, true},
+		{BadGateway, []string{"i-1"}, true},
+	} {
+		present := r.circumstances(tc.outcome, req, &endpointRecord{count: len(tc.executed), endpoints: tc.executed})
+		if got := excused(tc.outcome, present); got != tc.want {
+			t.Errorf("%v, executed at %q: excused %t by %v", tc.outcome, tc.executed, got, present)
+		}
+	}
+}
--- a/internal/soak/timeline.go
+++ b/internal/soak/timeline.go
@@ -8,12 +8,12 @@
 // span is a time during which a circumstance held.
 type span struct {
 	cause    cause
-	subject  string // name of a gateway, or serviceSubject or routeSubject; "" for all
+	subject  string // name of a gateway, ID of an endpoint, serviceSubject or routeSubject; "" for all
 	detail   string // service of a route, for spans of routeTargets
 	from, to time.Time
 }
 
-// serviceSubject is the subject of circumstances of a service's endpoints.
+// serviceSubject is the subject of circumstances of a service.
 func serviceSubject(service string) string { return "service " + service }
 
 // routeSubject is the subject of circumstances of a route.
