ingress: a refusal does not wait for the rest of a body

What callers saw: a request whose body stopped midway got neither an answer nor a refusal, neither at its deadline (408) nor when it was refused before its body was read (404, 401, 503, also for a route that a new configuration had taken away). Its connection and its memory were held until the caller closed.

Cause: before the head of a response, net/http reads up to 256 KiB of the request's body that are left, under the read deadline of the connection. There was none: readBody removed it before the 408 was written, and refusals before readBody had not set any.

A refusal now waits 100 ms for the rest of the body. If it arrives, the connection can be used again; otherwise the response closes it. A request without a body keeps its deadline, because net/http takes a failed read for the caller's leaving then.

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -25,6 +25,10 @@
 // defaultMaxBodyBytes limits the request body if the published limits don't.
 const defaultMaxBodyBytes = 4 << 20
 
+// refusalBodyWait is how long a refusal waits for the rest of the request's body. If it arrives, the
+// connection can be used again.
+const refusalBodyWait = 100 * time.Millisecond
+
 // call is the state of one request of a caller.
 type call struct {
 	s         *Server
@@ -128,10 +132,9 @@
 		c.reject(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
 		return false
 	}
-	rc := http.NewResponseController(c.w)
-	_ = rc.SetReadDeadline(c.deadline)
+	c.boundBodyWait(c.deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	_ = rc.SetReadDeadline(time.Time{})
+	c.boundBodyWait(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -148,6 +151,14 @@
 	return true
 }
 
+// boundBodyWait sets the time until which the rest of the request's body is awaited, by the reader
+// of the body or by net/http, which waits for it before it sends a response.
+func (c *call) boundBodyWait(until time.Time) {
+	if c.r.Body != http.NoBody { // without a body, net/http takes a failed read for the caller's leaving
+		_ = http.NewResponseController(c.w).SetReadDeadline(until) // not supported by recorders of tests
+	}
+}
+
 // run sends the request to one endpoint after another until the response is complete or no
 // further attempt is allowed.
 func (c *call) run(ctx context.Context) {
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -21,6 +21,7 @@
 	event.LogFields(event.RequestRejected, "request", c.meta.ID, "status", status, "why", detail, "host", c.r.Host,
 		"revision", c.admission.Revision, "age_ms", c.admission.SnapshotAge.Milliseconds())
 	c.s.meter.requestEnded(c, "rejected")
+	c.boundBodyWait(time.Now().Add(refusalBodyWait))
 	http.Error(c.w, detail, status)
 }
 
@@ -42,6 +43,7 @@
 		"elapsed_ms", c.elapsed(), "revision", c.admission.Revision, "age_ms", c.admission.SnapshotAge.Milliseconds())
 	c.s.meter.requestEnded(c, "refused")
 	c.s.codec.WriteRetryAfter(c.w.Header(), after)
+	c.boundBodyWait(time.Now().Add(refusalBodyWait))
 	http.Error(c.w, "not run: "+reason.String(), http.StatusServiceUnavailable)
 }
 
