ingress: the bodies in memory are bounded together

What callers saw: a response could have 8 MiB and a request as much as the published limit, and nothing bounded them together. 200 bodies of 2 MiB at once took 5 times the memory of an instance; a process that dies loses everything that it had accepted.

All bodies of requests, and all buffered bodies of responses, share a budget of 24 MiB each (bytebudget.Budget.Read). Bytes are reserved as they are read and released when the response has been written; no growing buffer is copied. The first 64 KiB of a body are free, so that small ones never depend on others. One body gets at most half of what is left, so a response of 8 MiB still arrives, and bodies that grow without end are cut off first. A request without room is refused at once (503, no_memory, Retry-After, it has not run); an attempt whose response has no room ends as broken and is retried where its kind allows.

The bounds follow from the smallest instance, 184 MiB: the collector lets the heap grow to twice what is live, so 92 MiB may be live, 48 of them large bodies, 25 the free bytes of 200 requests and responses.

Extensions of chunks and trailers without end were bounded before.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -24,6 +24,7 @@
 	ReasonMayHaveRun             // a failed endpoint may have run the request, which is not idempotent
 	ReasonOriginUnknown          // it is not known at which version the resumed stream began
 	ReasonVersionGone            // no endpoint of the version at which the resumed stream began is listed
+	ReasonNoMemory               // the memory for the bodies of requests is in use
 )
 
 // String returns the reason's stable name in logs and metrics.
@@ -51,6 +52,8 @@
 		return "origin_unknown"
 	case ReasonVersionGone:
 		return "version_gone"
+	case ReasonNoMemory:
+		return "no_memory"
 	default:
 		return "invalid"
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,12 +7,12 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,7 +26,7 @@
 	Target string // path and query, unchanged from the caller's request
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   [][]byte // in parts; not changed
 }
 
 // Error is a failure to connect, or a failure before the head of the response was received.
@@ -67,6 +67,7 @@
 	Status int
 	Header http.Header
 	Body   io.Reader // if Framed, returns io.EOF only at the end of the complete body
+	Length int64     // of Body as announced, -1: unknown
 	Framed bool      // the body has a length or is chunked, so that its truncation is detected
 
 	conn           net.Conn
@@ -117,10 +118,15 @@
 }
 
 func newResponse(conn net.Conn, resp *http.Response) *Response {
+	length := resp.ContentLength
+	if resp.Request.Method == http.MethodHead {
+		length = 0 // the announced length is that of the response to a GET
+	}
 	return &Response{
 		Status: resp.StatusCode,
 		Header: resp.Header,
 		Body:   resp.Body,
+		Length: length,
 		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 		conn:   conn,
 	}
@@ -140,13 +146,22 @@
 		Header: h,
 		Close:  true,
 	}
-	if len(req.Body) > 0 {
-		httpReq.Body = io.NopCloser(bytes.NewReader(req.Body))
-		httpReq.ContentLength = int64(len(req.Body))
+	if n := req.bodyBytes(); n > 0 {
+		parts := net.Buffers(slices.Clone(req.Body)) // reading consumes them
+		httpReq.Body = io.NopCloser(&parts)
+		httpReq.ContentLength = n
 	}
 	return httpReq
 }
 
+func (req *Request) bodyBytes() int64 {
+	var n int64
+	for _, part := range req.Body {
+		n += int64(len(part))
+	}
+	return n
+}
+
 // SetReadDeadline sets the deadline of reads from the body.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.SetReadDeadline(t) }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -55,7 +55,7 @@
 }
 
 func request(body string) *Request {
-	return &Request{Method: http.MethodPost, Target: "/a%2Fb?x=1&x=2", Host: "desk.test", Header: http.Header{"X-One": {"1"}}, Body: []byte(body)}
+	return &Request{Method: http.MethodPost, Target: "/a%2Fb?x=1&x=2", Host: "desk.test", Header: http.Header{"X-One": {"1"}}, Body: [][]byte{[]byte(body)}}
 }
 
 func do(t *testing.T, addr string, rq *Request) (*Response, error) {
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -8,15 +8,13 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dandelionvane/dandelionvane/internal/bytebudget"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/exchange"
 	"github.com/dandelionvane/dandelionvane/internal/sse"
 	"github.com/dandelionvane/dandelionvane/internal/upstream"
 )
 
-// maxBufferedResponseBytes limits the body of a response that is not an event stream.
-const maxBufferedResponseBytes = 8 << 20
-
 // callerResponse is the state of the response to the caller.
 type callerResponse struct {
 	started         bool // the response head has been sent
@@ -33,7 +31,7 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *bytebudget.Body
 }
 
 func isStream(resp *exchange.Response) bool {
@@ -47,10 +45,7 @@
 		a.err = errors.Errorf("the resumed stream got a response of status %d that is not a stream", resp.Status)
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponseBytes+1))
-	if err == nil && len(body) > maxBufferedResponseBytes {
-		err = errors.New("the response body is too large")
-	}
+	body, err := a.s.memory.readResponse(resp)
 	if err != nil {
 		a.err = err
 		return false
@@ -58,14 +53,23 @@
 	d := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= http.StatusInternalServerError {
 		a.result = control.EndpointFailed
-		a.response.deferredFailure = d
+		a.deferFailure(d)
 		return false
 	}
+	defer body.Release()
 	a.result = control.ResponseComplete
 	a.write(d)
 	return true
 }
 
+// deferFailure replaces the deferred 5xx response; nil only drops it.
+func (c *call) deferFailure(d *bufferedResponse) {
+	if former := c.response.deferredFailure; former != nil {
+		former.body.Release()
+	}
+	c.response.deferredFailure = d
+}
+
 // writeDeferredFailure sends the deferred 5xx response because no later attempt has succeeded.
 func (c *call) writeDeferredFailure() {
 	c.write(c.response.deferredFailure)
@@ -76,11 +80,14 @@
 	c.copyHeaders(d.header)
 	c.response.started, c.response.status = true, d.status
 	if c.r.Method != http.MethodHead {
-		c.w.Header().Set("Content-Length", strconv.Itoa(len(d.body)))
+		c.w.Header().Set("Content-Length", strconv.FormatInt(d.body.Len(), 10))
 	}
 	c.w.WriteHeader(d.status)
-	// A write fails only if the caller has disconnected.
-	_, _ = c.w.Write(d.body)
+	for _, chunk := range d.body.Parts() {
+		if _, err := c.w.Write(chunk); err != nil {
+			return // the caller has disconnected
+		}
+	}
 }
 
 func (c *call) copyHeaders(from http.Header) {
@@ -159,7 +166,7 @@
 	a.copyHeaders(resp.Header)
 	a.w.WriteHeader(resp.Status)
 	a.response.started, a.response.status = true, resp.Status
-	a.response.deferredFailure = nil // can no longer be sent
+	a.deferFailure(nil) // can no longer be sent
 	a.s.meter.streamStarted(a.call)
 }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -158,6 +158,6 @@
 		Target: a.r.URL.RequestURI(),
 		Host:   a.r.Host,
 		Header: h,
-		Body:   a.body,
+		Body:   a.body.Parts(),
 	}
 }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/bytebudget"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
@@ -22,9 +22,6 @@
 // the end of the process. Other gateways serve them.
 const endedRetryAfter = 100 * time.Millisecond
 
-// defaultMaxBodyBytes limits the request body if the published limits don't.
-const defaultMaxBodyBytes = 4 << 20
-
 // refusalBodyWait is how long a refusal waits for the rest of the request's body. If it arrives, the
 // connection can be used again.
 const refusalBodyWait = 100 * time.Millisecond
@@ -39,7 +36,7 @@
 	meta           RequestMetadata
 	affinityKey    uint64
 	admission      control.Admission
-	body           []byte
+	body           *bytebudget.Body
 	deadline       time.Time
 	origin         streamOrigin
 	triedEndpoints []fleet.EndpointID
@@ -63,6 +60,7 @@
 	if c.headerTooLarge() || !c.readBody() {
 		return
 	}
+	defer c.releaseBodies()
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	if !c.findOrigin(ctx) {
@@ -124,22 +122,16 @@
 
 // readBody reads the whole request body. It returns false if it has rejected the request.
 func (c *call) readBody() bool {
-	limit := c.admission.BodyLimit
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if c.r.ContentLength > limit {
-		c.reject(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
-		return false
-	}
 	c.boundBodyWait(c.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := c.s.memory.readRequest(c.w, c.r, c.admission.BodyLimit)
 	c.boundBodyWait(time.Time{})
-	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, bytebudget.ErrTooLarge):
 		c.reject(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
 		return false
+	case errors.Is(err, bytebudget.ErrExhausted):
+		c.respondNotRun(control.ReasonNoMemory, jitteredRetryAfter())
+		return false
 	case err != nil && !time.Now().Before(c.deadline):
 		c.reject(http.StatusRequestTimeout, "the body did not arrive in time")
 		return false
--- a/internal/ingress/endless_test.go
+++ b/internal/ingress/endless_test.go
@@ -24,13 +24,26 @@
 	return false
 }
 
-const streamBegin = "HTTP/1.1 200 X\r\nX-Stamp: 1\r\nX-Id: id-1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+const (
+	responseBegin = "HTTP/1.1 200 X\r\nX-Stamp: 1\r\nX-Id: id-1\r\n"
+	streamBegin   = responseBegin + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
 
 // endlessResponses are beginnings of responses and what follows them without end.
 var endlessResponses = map[string]struct{ begin, piece string }{
 	"head":     {"HTTP/1.1 200 OK\r\nX-One: ", "x"},
 	"comments": {streamBegin, "8\r\n: ping\n\n\r\n"},
 	"event":    {streamBegin + "6\r\ndata: \r\n", "8\r\nxxxxxxxx\r\n"},
+
+	"body with a length":       {responseBegin + "Content-Length: 1000000000000\r\n\r\n", "x"},
+	"body without a length":    {responseBegin + "\r\n", "x"},
+	"body in chunks":           {responseBegin + "Transfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n"},
+	"chunk":                    {responseBegin + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffff\r\n", "x"},
+	"size of a chunk":          {responseBegin + "Transfer-Encoding: chunked\r\n\r\n", "1"},
+	"extension of a chunk":     {responseBegin + "Transfer-Encoding: chunked\r\n\r\n1;x=", "x"},
+	"extensions of all chunks": {responseBegin + "Transfer-Encoding: chunked\r\n\r\n", "1;x=" + strings.Repeat("x", 2000) + "\r\nx\r\n"},
+	"trailer":                  {responseBegin + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-One: 1\r\n"},
+	"body of a failure":        {"HTTP/1.1 500 X\r\nX-Stamp: 1\r\nX-Id: id-1\r\n\r\n", "x"},
 }
 
 // TestAnswerWithoutEndIsCutOffAndRetried: an endpoint whose answer has no end is cut off. The
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -25,13 +25,14 @@
 	codec              HeaderCodec
 	client             *exchange.Client
 	meter              *Meter
+	memory             *memory
 	idle               idleConns
 	keepAlivesDisabled atomic.Bool
 }
 
 // New returns a server that sends requests to endpoints with the given client.
 func New(c Control, codec HeaderCodec, client *exchange.Client, meter *Meter) *Server {
-	return &Server{control: c, codec: codec, client: client, meter: meter}
+	return &Server{control: c, codec: codec, client: client, meter: meter, memory: newMemory()}
 }
 
 // TrackConn records which connections are idle, for CloseIdle. It must be set as the ConnState
