httpcall: the heads of peers, seeds and the store are bounded

What was at risk: the clients of the store, of seeds and of peers read heads of up to net/http's 10 MiB, and followed redirects, ten per call and to any address.

All of them get their client from httpcall.NewClient now: 16 KiB for a head with all interim responses before it, redirects are returned as responses, and a body whose announced length is over the bound is an error before it is read. The bounds in time were there: 1 s for seeds and each page of the store, 2 s for pulls.

The setup of the tests of pulls uses the client of the process instead of one of its own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,7 +73,7 @@
 		storeReads:   make(chan control.ReadStore, 1),
 		listenerErrs: make(chan error, 4),
 
-		peerHTTPClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		peerHTTPClient: newPeerHTTPClient(),
 	}
 	defer p.metrics.Close()
 	p.store.Store(published.NewClient(settings.Store.Addr, o.Protocol))
--- a/internal/gateway/items_test.go
+++ b/internal/gateway/items_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -23,7 +22,7 @@
 	t.Helper()
 	s := testSettings()
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{settings: s, ctx: ctx, peerHTTPClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	p := &process{settings: s, ctx: ctx, peerHTTPClient: newPeerHTTPClient()}
 	p.seeds.Store(newSeedClient(s))
 	p.loop = newLoop(control.New(boottime.Now(), s.controlOptions(1, publishedtest.Protocol{})), func(control.Action) {})
 	p.wg.Go(func() { p.loop.run(ctx) })
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// newPeerHTTPClient returns a client of the control addresses of peers.
+func newPeerHTTPClient() *http.Client {
+	return httpcall.NewClient(&http.Transport{DisableKeepAlives: true})
+}
+
 // pull fetches the items that a peer has and this process lacks, and passes them to the control
 // state.
 func (p *process) pull(a control.PullItems) {
--- a/internal/gateway/seeds.go
+++ b/internal/gateway/seeds.go
@@ -40,7 +40,8 @@
 }
 
 func newSeedClient(s Settings) *seedClient {
-	c := &seedClient{self: s.member(), http: &http.Client{Timeout: seedQueryTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	c := &seedClient{self: s.member(), http: newPeerHTTPClient()}
+	c.http.Timeout = seedQueryTimeout
 	for _, a := range s.Peers.Seeds {
 		if a != s.Listen.Control {
 			c.addrs = append(c.addrs, a)
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -1,4 +1,5 @@
-// Package httpcall makes HTTP requests and reads the whole response body up to a size limit.
+// Package httpcall makes HTTP requests and reads whole responses, whose head and body are bounded in bytes. The context of
+// the request bounds their time.
 package httpcall
 
 import (
@@ -12,6 +13,19 @@
 // ErrTooLarge is returned for a response body that exceeds the size limit.
 var ErrTooLarge = errors.New("httpcall: response body too large")
 
+// MaxHeadBytes is the maximum size of the head of a response, with all interim responses before it.
+const MaxHeadBytes = 16 << 10
+
+// NewClient returns a client with a transport, on which it sets the bound of the head. It returns
+// redirects as responses: servers of this fleet and the platform have no reason to send any.
+func NewClient(t *http.Transport) *http.Client {
+	t.MaxResponseHeaderBytes = MaxHeadBytes
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Response is the status and the whole body of a response.
 type Response struct {
 	Status int
@@ -35,6 +49,9 @@
 		return Response{}, errors.Wrap(err, "httpcall")
 	}
 	defer resp.Body.Close()
+	if resp.ContentLength > maxBytes {
+		return Response{}, ErrTooLarge
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
 	if err != nil {
 		return Response{}, errors.Wrap(err, "httpcall: read response body")
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/dandelionvane/dandelionvane/internal/core"
+	"github.com/dandelionvane/dandelionvane/internal/httpcall"
 )
 
 // Client watches the platform's feeds.
@@ -22,7 +23,7 @@
 	client := &Client{
 		cfg:  cfg,
 		post: post,
-		http: &http.Client{Transport: &http.Transport{}},
+		http: httpcall.NewClient(&http.Transport{}),
 	}
 	client.feeds = []*feed{
 		{client: client, name: "configuration", decode: configDecoder(parse)},
--- a/internal/published/client.go
+++ b/internal/published/client.go
@@ -45,11 +45,11 @@
 	return &Client{
 		base:     "http://" + addr,
 		protocol: p,
-		http: &http.Client{Transport: &http.Transport{
+		http: httpcall.NewClient(&http.Transport{
 			DialContext:         dialer.DialContext,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 1,
-		}},
+		}),
 	}
 }
 
