published: the list of the store has an end

What was at risk: a store that says without end that another page follows, with the same keys, with new ones or with large values, was read for ever. Each page was bounded, all of them together were not, and their items were collected in memory.

A list has at most 16 MiB and 256 pages (the store's pages have about 500 items or a megabyte), and a page that another one follows must end with a higher key than the one before.

--- a/internal/published/client.go
+++ b/internal/published/client.go
@@ -21,6 +21,15 @@
 // maxResponseBytes bounds one response: a configuration of a megabyte in base64 plus other items.
 const maxResponseBytes = 8 << 20
 
+// Bounds on all pages of one list together. The store's pages have up to about 500 items or a megabyte.
+const (
+	maxListBytes = 2 * maxResponseBytes
+	maxListPages = 256
+)
+
+// ErrListTooLarge reports a list that exceeds a bound, or whose pages do not follow one another.
+var ErrListTooLarge = errors.New("published: the list of the store is too large or has no end")
+
 // ErrHistoryGone reports that the store no longer has the history of writes after a revision.
 var ErrHistoryGone = errors.New("published: the revision is older than the history of the store")
 
@@ -78,12 +87,13 @@
 // occur several times; for each key, the item with the highest revision is the content at the
 // returned revision.
 func (c *Client) List(ctx context.Context) (Page, error) {
-	page, err := c.listPage(ctx, "")
+	left := listBounds{bytes: maxListBytes, pages: maxListPages}
+	page, err := c.listPage(ctx, "", &left)
 	if err != nil || !page.More || len(page.Items) == 0 {
 		return page, err
 	}
 	for more := true; more; {
-		next, err := c.listPage(ctx, page.Items[len(page.Items)-1].Key)
+		next, err := c.listPage(ctx, page.Items[len(page.Items)-1].Key, &left)
 		if err != nil {
 			return Page{}, err
 		}
@@ -97,12 +107,29 @@
 	return Page{Revision: changes.Revision, Items: append(page.Items, changes.Items...)}, nil
 }
 
-func (c *Client) listPage(ctx context.Context, after string) (Page, error) {
+// listBounds is what the further pages of a list may have.
+type listBounds struct{ bytes, pages int }
+
+// take subtracts a page, and returns false if it exceeds the bounds.
+func (l *listBounds) take(bytes int) bool {
+	l.bytes -= bytes
+	l.pages--
+	return l.bytes >= 0 && l.pages >= 0
+}
+
+// listPage returns the page after a key. If another one follows, its last key comes after that key.
+func (c *Client) listPage(ctx context.Context, after string, left *listBounds) (Page, error) {
 	body, era, err := c.fetch(ctx, c.protocol.ListPath(after))
 	if err != nil {
 		return Page{}, err
 	}
+	if !left.take(len(body)) {
+		return Page{}, ErrListTooLarge
+	}
 	p, err := c.protocol.DecodeList(body)
+	if err == nil && p.More && len(p.Items) > 0 && p.Items[len(p.Items)-1].Key <= after {
+		return Page{}, ErrListTooLarge
+	}
 	return p.inEra(era), err
 }
 
