gateway: the listeners for peers, the balancer and operators are bounded

What was at risk: these listeners took heads of 1 MiB (200 of them exceed the memory of an instance), and waited without end for the body of a request and for a peer that does not read its response.

Their heads have at most 16 KiB, and the whole request and its response 10 s each. A peer gives up a pull after 2 s.

Before: TestInternalListenerRefusesLargeHeads ("StatusCode:200") and TestInternalListenerClosesStalledRequests ("body: still open: i/o timeout") failed; TestInternalListenerClosesRequestsWithoutEnd passed, since net/http reads 256 KiB of a body that the handler has left.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,9 +129,9 @@
 	p.callerServer = &http.Server{Handler: p.callerHandler, ReadHeaderTimeout: headerTimeout, ConnState: p.callerHandler.TrackConn}
 	for addr, srv := range map[string]*http.Server{
 		s.Listen.Callers:  p.callerServer,
-		s.Listen.Balancer: {Handler: p.balancerHandler(), ReadHeaderTimeout: headerTimeout},
-		s.Listen.Control:  {Handler: p.controlHandler(), ReadHeaderTimeout: headerTimeout},
-		s.Listen.Operator: {Handler: p.operatorHandler(), ReadHeaderTimeout: headerTimeout},
+		s.Listen.Balancer: newInternalServer(p.balancerHandler()),
+		s.Listen.Control:  newInternalServer(p.controlHandler()),
+		s.Listen.Operator: newInternalServer(p.operatorHandler()),
 	} {
 		if addr == "" {
 			continue
@@ -143,7 +143,7 @@
 	return p.awaitStop(ctx)
 }
 
-// headerTimeout limits the time to receive a request's header on all listeners. It is fixed: the
+// headerTimeout limits the time to receive the header of a caller's request. It is fixed: the
 // published header timeout is not enforced.
 const headerTimeout = 10 * time.Second
 
