router: a response does not wait without end for the rest of a body

A request whose body stops midway got no response from the listener for callers if no handler read the body (an unknown path), and none at all from the listener for operators, because net/http reads the rest of a body before a response and there was no read deadline. The listener for operators also took heads of 1 MiB.

The listener for callers has a read deadline from the start of a request (its times for the header and the body together; readBody sets its own), that for operators 10 s and 16 KiB for a head. A response may take longer: net/http removes the deadline when the body has been read.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -48,6 +48,7 @@
 	s.http = &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: cfg.HeaderTimeout,
+		ReadTimeout:       cfg.HeaderTimeout + cfg.BodyTimeout, // before a body that no handler reads; readBody sets its own
 		IdleTimeout:       cfg.IdleTimeout,
 		MaxHeaderBytes:    cfg.MaxHeaderBytes,
 	}
--- a/internal/callers/slow_test.go
+++ b/internal/callers/slow_test.go
@@ -55,10 +55,11 @@
 		after  time.Duration
 		status int // 0: closed without a response
 	}{
-		"nothing":   {"", cfg.HeaderTimeout, 0},
-		"headers":   {"POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nAuth", cfg.HeaderTimeout, http.StatusBadRequest},
-		"body":      {"POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer k\r\nContent-Length: 9\r\n\r\n{", cfg.BodyTimeout, http.StatusRequestTimeout},
-		"much head": {"GET / HTTP/1.1\r\nHost: r\r\nX: " + strings.Repeat("x", 2*cfg.MaxHeaderBytes), 0, http.StatusRequestHeaderFieldsTooLarge},
+		"nothing":               {"", cfg.HeaderTimeout, 0},
+		"headers":               {"POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nAuth", cfg.HeaderTimeout, http.StatusBadRequest},
+		"body":                  {"POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer k\r\nContent-Length: 9\r\n\r\n{", cfg.BodyTimeout, http.StatusRequestTimeout},
+		"body that is not read": {"POST /none HTTP/1.1\r\nHost: r\r\nContent-Length: 9\r\n\r\n{", cfg.HeaderTimeout + cfg.BodyTimeout, http.StatusNotFound},
+		"much head":             {"GET / HTTP/1.1\r\nHost: r\r\nX: " + strings.Repeat("x", 2*cfg.MaxHeaderBytes), 0, http.StatusRequestHeaderFieldsTooLarge},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			s := New(cfg, func(core.Event) { t.Errorf("%s: an event", name) }, nil, resume.NewCodec(nil))
--- a/internal/router/operator.go
+++ b/internal/router/operator.go
@@ -16,7 +16,11 @@
 	"github.com/dandelionvane/dandelionvane/internal/peering"
 )
 
-const operatorHeaderTimeout = 5 * time.Second
+const (
+	maxOperatorHeadBytes  = 16 << 10
+	operatorHeaderTimeout = 5 * time.Second
+	operatorReadTimeout   = 10 * time.Second // of a whole request, with its body; a response may take longer
+)
 
 // Dump is the response to GET /dump: the state of the process.
 type Dump struct {
@@ -91,7 +95,12 @@
 		r.HandleFunc("/debug/pprof/profile", pprof.Profile)
 		r.HandleFunc("/debug/pprof/trace", pprof.Trace)
 	}
-	return &http.Server{Handler: r, ReadHeaderTimeout: operatorHeaderTimeout}
+	return &http.Server{
+		Handler:           r,
+		MaxHeaderBytes:    maxOperatorHeadBytes,
+		ReadHeaderTimeout: operatorHeaderTimeout,
+		ReadTimeout:       operatorReadTimeout,
+	}
 }
 
 func (p *process) serveDump(w http.ResponseWriter, r *http.Request) {
