ingress: a caller that does not read is given up after its deadline

What callers saw: nothing at first. A caller that kept its connection and read nothing held its request for ever, beyond its deadline: the connection to the endpoint was closed, but the write to the caller had no deadline. The attempt counted as load of its endpoint, its memory stayed in use, and a planned stop waited for it until the end of the grace period.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -126,6 +127,14 @@
 	}
 }
 
+// boundWrites ends writes to the caller a while after its timeout, counted from the arrival of the
+// request: it may keep the connection and read nothing. Each request sets it, because a keep-alive
+// connection would keep that of the last one.
+func (c *call) boundWrites(callerTimeout time.Duration) {
+	until := c.arrivedAt.Add(callerTimeout + resumeSlack)
+	_ = http.NewResponseController(c.w).SetWriteDeadline(until) // not supported by recorders of tests
+}
+
 // mayEndStream reports whether the stream may end at this point. A new stream has at least
 // one event; a stream that the caller resumed may have none left.
 func (a *attempt) mayEndStream() bool { return a.response.events > 0 || a.meta.LastEventID != "" }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -45,6 +45,7 @@
 }
 
 func (c *call) serve() {
+	c.boundWrites(defaultRequestTimeout)
 	meta, err := c.s.codec.ReadRequest(c.r.Header)
 	c.meta = meta
 	if err != nil {
@@ -53,6 +54,7 @@
 	}
 	c.affinityKey = promptAffinity(meta.Prompt)
 	c.admit()
+	c.boundWrites(max(c.deadline.Sub(c.arrivedAt), meta.CallerTimeout))
 	if c.admission.Reason != control.ReasonNone {
 		c.respondNotRun(c.admission.Reason, c.admission.RetryAfter)
 		return
