--- a/internal/ingress/endless_test.go
+++ b/internal/ingress/endless_test.go
@@ -75,3 +75,27 @@
 		}
 	}
 }
+
+// TestStreamThatStopsMakingSenseIsResumed: a resumable stream whose endpoint sends comments or an
+// event without end after some events is cut off and resumed at another endpoint, with each event once.
+func TestStreamThatStopsMakingSenseIsResumed(t *testing.T) {
+	for name, piece := range map[string]string{"comments": "8\r\n: ping\n\n\r\n", "event": "8\r\nxxxxxxxx\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			cut := make(chan bool, 1)
+			ts := startTestServer(t, func(n int, conn net.Conn, _ *http.Request) {
+				writeStreamHead(conn)
+				if n == 1 {
+					writeEvents(conn, 1, 3)
+					cut <- sendWithoutEnd(conn, piece)
+					return
+				}
+				writeEvents(conn, 4, 6)
+				endChunkedBody(conn)
+			})
+			g := ts.send(http.MethodPost, "resumable", "body")
+			if g.body != eventsText(1, 6) || g.err != nil || ts.arrivals() != 2 || !<-cut {
+				t.Errorf("got %q, %v after %d arrivals", g.body, g.err, ts.arrivals())
+			}
+		})
+	}
+}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -1,6 +1,10 @@
 package upstream
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -8,6 +12,38 @@
 	"github.com/dandelionvane/dandelionvane/internal/sse"
 )
 
+// TestHeadWithoutEnd checks that a head without end is an error of the attempt, not of the deadline,
+// and that the endpoint is cut off.
+func TestHeadWithoutEnd(t *testing.T) {
+	for name, tc := range map[string]struct{ begin, piece string }{
+		"status line":       {"HTTP/1.1 200 ", "x"},
+		"field":             {"HTTP/1.1 200 OK\r\nX-One: ", "x"},
+		"fields":            {"HTTP/1.1 200 OK\r\n", "X-One: 1\r\n"},
+		"interim responses": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	} {
+		const most = 32 << 20
+		sent := 0
+		s := &fakeServer{serve: func(c net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, tc.begin)
+			piece := strings.Repeat(tc.piece, 1000)
+			for ; sent < most; sent += len(piece) {
+				if _, err := io.WriteString(c, piece); err != nil {
+					return
+				}
+			}
+		}}
+		c := s.client(t)
+		ev, lost := run(c, chatDispatch, chatCall, &recordingSink{}).(core.AttemptLost)
+		s.wg.Wait()
+		if !lost || ev.Cause != core.CauseReset || sent >= most {
+			t.Errorf("%s: %+v after %d bytes", name, ev, sent)
+		}
+	}
+}
+
 const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 
 // TestStreamWithoutEnd checks that an attempt is lost at once when a stream sends comments or an
