--- a/internal/gateway/readers_test.go
+++ b/internal/gateway/readers_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"github.com/pkg/errors"
+
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/httpcall"
 	"github.com/dandelionvane/dandelionvane/internal/published"
@@ -38,3 +40,17 @@
 		}
 	}
 }
+
+// TestMemberListOfManySmallElements guards against a seed's response that is within its bound in
+// bytes and takes many times that memory when it is decoded.
+func TestMemberListOfManySmallElements(t *testing.T) {
+	p := newTestProcess(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("[" + strings.Repeat("{},", maxMemberListBytes/3-1) + "{}]"))
+	}))
+	defer srv.Close()
+	members, err := p.seeds.Load().query(context.Background(), strings.TrimPrefix(srv.URL, "http://"), 0)
+	if !errors.Is(err, httpcall.ErrTooManyElements) {
+		t.Errorf("%d members, %v", len(members), err)
+	}
+}
--- a/internal/gateway/seeds.go
+++ b/internal/gateway/seeds.go
@@ -29,6 +29,8 @@
 	seedHedgeDelay     = 200 * time.Millisecond // without a response of a seed, before the next one is queried too
 	maxMemberListBytes = 1 << 20                // of the response to a seed query
 	maxSeedQueryBytes  = 4 << 10                // of the body of a seed query
+
+	maxMemberListElements = 1 << 16 // fields and members of the response to a seed query, six per member
 )
 
 // seedClient queries the seeds of the settings: it announces this process to a seed and gets the
@@ -72,7 +74,7 @@
 		return nil, errors.Errorf("gateway: seed %s returned status %d", addr, resp.Status)
 	}
 	var members []mesh.Member
-	return members, errors.Wrapf(json.Unmarshal(resp.Body, &members), "gateway: decode members of seed %s", addr)
+	return members, errors.Wrapf(httpcall.DecodeJSON(resp.Body, maxMemberListElements, &members), "gateway: decode members of seed %s", addr)
 }
 
 func formatDigest(d uint64) string { return strconv.FormatUint(d, 16) }
