--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,7 @@
 		storeReads:   make(chan control.ReadStore, 1),
 		listenerErrs: make(chan error, 4),
 
-		peerHTTPClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		peerHTTPClient: newPeerHTTPClient(),
 	}
 	defer p.metrics.Close()
 	p.store.Store(published.NewClient(settings.Store.Addr, o.Protocol))
@@ -129,9 +129,9 @@
 		return err
 	}
 	for addr, srv := range map[string]*http.Server{
-		s.Listen.Balancer: {Handler: p.balancerHandler(), ReadHeaderTimeout: headerTimeout},
-		s.Listen.Control:  {Handler: p.controlHandler(), ReadHeaderTimeout: headerTimeout},
-		s.Listen.Operator: {Handler: p.operatorHandler(), ReadHeaderTimeout: headerTimeout},
+		s.Listen.Balancer: newInternalServer(p.balancerHandler()),
+		s.Listen.Control:  newInternalServer(p.controlHandler()),
+		s.Listen.Operator: newInternalServer(p.operatorHandler()),
 	} {
 		if addr == "" {
 			continue
@@ -143,7 +143,6 @@
 	return p.awaitStop(ctx)
 }
 
-// headerTimeout limits the time to receive a request's header on the listeners that are not for callers.
 const headerTimeout = 10 * time.Second
 
 // idleCheckInterval is the time between two checks for idle connections of callers.
--- a/internal/ingress/answerwriter.go
+++ b/internal/ingress/answerwriter.go
@@ -10,7 +10,7 @@
 
 // unreadBodyTimeout limits how long an answer is held back for the rest of a body that is not needed. net/http reads up
 // to 256 KiB of it before the answer, so that the connection can be kept.
-const unreadBodyTimeout = time.Second
+const unreadBodyTimeout = 100 * time.Millisecond
 
 // answerWriter announces with each answer what becomes of its connection.
 type answerWriter struct {
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/bytebudget"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
@@ -22,9 +22,6 @@
 // the end of the process. Other gateways serve them.
 const endedRetryAfter = 100 * time.Millisecond
 
-// defaultMaxBodyBytes limits the request body if the published limits don't.
-const defaultMaxBodyBytes = 4 << 20
-
 // call is the state of one request of a caller.
 type call struct {
 	s         *Server
@@ -35,7 +32,7 @@
 	meta           RequestMetadata
 	affinityKey    uint64
 	admission      control.Admission
-	body           []byte
+	body           *bytebudget.Body
 	deadline       time.Time
 	origin         streamOrigin
 	triedEndpoints []fleet.EndpointID
@@ -45,6 +42,7 @@
 }
 
 func (c *call) serve() {
+	c.boundWrites(defaultRequestTimeout)
 	meta, err := c.s.codec.ReadRequest(c.r.Header)
 	c.meta = meta
 	if err != nil {
@@ -53,6 +51,7 @@
 	}
 	c.affinityKey = promptAffinity(meta.Prompt)
 	c.admit()
+	c.boundWrites(max(c.deadline.Sub(c.arrivedAt), meta.CallerTimeout))
 	if c.admission.Reason != control.ReasonNone {
 		c.respondNotRun(c.admission.Reason, c.admission.RetryAfter)
 		return
@@ -60,6 +59,7 @@
 	if c.headerTooLarge() || !c.readBody() {
 		return
 	}
+	defer c.releaseBodies()
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	if !c.findOrigin(ctx) || c.endIfDone(ctx) {
@@ -125,27 +125,17 @@
 	if c.r.ContentLength == 0 {
 		return true // net/http reads from the connection already: a deadline would look like the caller's leaving
 	}
-	limit := c.admission.BodyLimit
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if c.r.ContentLength > limit {
-		c.reject(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
-		return false
-	}
-	if c.r.Body == http.NoBody {
-		return true
-	}
-	// It must not be set without a body: net/http reads ahead then, and takes a failed read for the caller's leaving.
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(c.w.ResponseWriter, c.r.Body, limit))
+	body, err := c.s.memory.readRequest(c.w.ResponseWriter, c.r, c.admission.BodyLimit)
 	_ = rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, bytebudget.ErrTooLarge):
 		c.reject(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
 		return false
+	case errors.Is(err, bytebudget.ErrExhausted):
+		c.respondNotRun(control.ReasonNoMemory, jitteredRetryAfter())
+		return false
 	case err != nil && !time.Now().Before(c.deadline):
 		c.w.bodyLate = true
 		c.reject(http.StatusRequestTimeout, "the body did not arrive in time")
--- a/internal/ingress/endless_test.go
+++ b/internal/ingress/endless_test.go
@@ -24,13 +24,26 @@
 	return false
 }
 
-const streamBegin = "HTTP/1.1 200 X\r\nX-Stamp: 1\r\nX-Id: id-1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+const (
+	responseBegin = "HTTP/1.1 200 X\r\nX-Stamp: 1\r\nX-Id: id-1\r\n"
+	streamBegin   = responseBegin + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
 
 // endlessResponses are beginnings of responses and what follows them without end.
 var endlessResponses = map[string]struct{ begin, piece string }{
 	"head":     {"HTTP/1.1 200 OK\r\nX-One: ", "x"},
 	"comments": {streamBegin, "8\r\n: ping\n\n\r\n"},
 	"event":    {streamBegin + "6\r\ndata: \r\n", "8\r\nxxxxxxxx\r\n"},
+
+	"body with a length":       {responseBegin + "Content-Length: 1000000000000\r\n\r\n", "x"},
+	"body without a length":    {responseBegin + "\r\n", "x"},
+	"body in chunks":           {responseBegin + "Transfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n"},
+	"chunk":                    {responseBegin + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffff\r\n", "x"},
+	"size of a chunk":          {responseBegin + "Transfer-Encoding: chunked\r\n\r\n", "1"},
+	"extension of a chunk":     {responseBegin + "Transfer-Encoding: chunked\r\n\r\n1;x=", "x"},
+	"extensions of all chunks": {responseBegin + "Transfer-Encoding: chunked\r\n\r\n", "1;x=" + strings.Repeat("x", 2000) + "\r\nx\r\n"},
+	"trailer":                  {responseBegin + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-One: 1\r\n"},
+	"body of a failure":        {"HTTP/1.1 500 X\r\nX-Stamp: 1\r\nX-Id: id-1\r\n\r\n", "x"},
 }
 
 // TestAnswerWithoutEndIsCutOffAndRetried: an endpoint whose answer has no end is cut off. The
@@ -62,3 +75,27 @@
 		}
 	}
 }
+
+// TestStreamThatStopsMakingSenseIsResumed: a resumable stream whose endpoint sends comments or an
+// event without end after some events is cut off and resumed at another endpoint, with each event once.
+func TestStreamThatStopsMakingSenseIsResumed(t *testing.T) {
+	for name, piece := range map[string]string{"comments": "8\r\n: ping\n\n\r\n", "event": "8\r\nxxxxxxxx\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			cut := make(chan bool, 1)
+			ts := startTestServer(t, func(n int, conn net.Conn, _ *http.Request) {
+				writeStreamHead(conn)
+				if n == 1 {
+					writeEvents(conn, 1, 3)
+					cut <- sendWithoutEnd(conn, piece)
+					return
+				}
+				writeEvents(conn, 4, 6)
+				endChunkedBody(conn)
+			})
+			g := ts.send(http.MethodPost, "resumable", "body")
+			if g.body != eventsText(1, 6) || g.err != nil || ts.arrivals() != 2 || !<-cut {
+				t.Errorf("got %q, %v after %d arrivals", g.body, g.err, ts.arrivals())
+			}
+		})
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -24,6 +24,7 @@
 	codec      HeaderCodec
 	client     *exchange.Client
 	meter      *Meter
+	memory     *memory
 	callers    *callers
 	inProgress atomic.Int64  // requests
 	ending     atomic.Uint32 // EndCause of requests that are still in progress, 0 while the process goes on
@@ -31,7 +32,7 @@
 
 // New returns a server that sends requests to endpoints with the given client.
 func New(c Control, codec HeaderCodec, client *exchange.Client, meter *Meter) *Server {
-	s := &Server{control: c, codec: codec, client: client, meter: meter}
+	s := &Server{control: c, codec: codec, client: client, meter: meter, memory: newMemory()}
 	s.callers = newCallers(s)
 	return s
 }
