gateway: the heap is limited by the instance's memory

Callers would see everything that a process had accepted end at once if it is killed for its memory. The garbage collector lets the heap grow to twice what is live, whatever the instance has. The runtime now gets a limit of three quarters of limits.memory_mb, near which it collects more often.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		return err
 	}
+	settings.limitMemory()
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	p := &process{
