--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,8 +144,6 @@
 	return p.awaitStop(ctx)
 }
 
-const headerTimeout = 10 * time.Second
-
 // idleCheckInterval is the time between two checks for idle connections of callers.
 const idleCheckInterval = time.Second
 
