--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -25,6 +25,7 @@
 	ReasonOriginUnknown          // it is not known at which version the resumed stream began
 	ReasonVersionGone            // no endpoint of the version at which the resumed stream began is listed
 	ReasonNoMemory               // the memory for the bodies of requests is in use
+	ReasonStopping               // a planned stop would end before the request's time limit
 )
 
 // String returns the reason's stable name in logs and metrics.
@@ -54,6 +55,8 @@
 		return "version_gone"
 	case ReasonNoMemory:
 		return "no_memory"
+	case ReasonStopping:
+		return "stopping"
 	default:
 		return "invalid"
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -15,8 +15,8 @@
 	// process has become unready: two readiness checks a second apart, and their latency.
 	balancerDrainDelay = 2500 * time.Millisecond
 	// idleDrainTime is how long after the stop signal a connection without a request may stay open for what its caller
-	// still sends, if its last answer announced that long.
-	idleDrainTime = 30 * time.Second
+	// still sends, if its last answer announced that long. A long request that came later could not end in time.
+	idleDrainTime = balancerDrainDelay
 	// stopReserve is the part of the grace period reserved for the exit of the process itself.
 	stopReserve = 600 * time.Millisecond
 )
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -56,6 +56,10 @@
 		c.respondNotRun(c.admission.Reason, c.admission.RetryAfter)
 		return
 	}
+	if c.s.callers.endsBefore(c.deadline) {
+		c.respondNotRun(control.ReasonStopping, endedRetryAfter)
+		return
+	}
 	if c.headerTooLarge() || !c.readBody() {
 		return
 	}
--- a/internal/ingress/callers.go
+++ b/internal/ingress/callers.go
@@ -31,6 +31,7 @@
 	listener    atomic.Pointer[callerconn.Listener]
 	idleTimeout atomic.Int64 // published, ns; 0 if unknown or none
 	stopping    atomic.Bool  // answers close their connections
+	drainEnd    atomic.Int64 // end of the planned stop, Unix ns; 0 until the listener is closed
 }
 
 func newCallers(h http.Handler) *callers {
@@ -80,13 +81,14 @@
 }
 
 // Drain completes a planned stop. It accepts no more connections, closes those without a request as what their last
-// answers announced passes, but all of them from idleEnd on, and returns once none is left or end has come. It returns
-// the number of requests that were cut off.
+// answers announced passes, but all of them from idleEnd on, and returns once none is left or end has come. Requests that
+// still arrive are refused if their time limit is beyond end. It returns the number of requests that were cut off.
 func (s *Server) Drain(idleEnd, end time.Time) int {
 	l := s.callers.listener.Load()
 	if l == nil {
 		return 0
 	}
+	s.callers.drainEnd.Store(end.UnixNano())
 	if last := end.Add(-lastAnswerTime); last.Before(idleEnd) {
 		idleEnd = last
 	}
@@ -118,6 +120,12 @@
 	return EndCallerLeft
 }
 
+// endsBefore reports whether a planned stop that no longer accepts connections ends before t.
+func (c *callers) endsBefore(t time.Time) bool {
+	end := c.drainEnd.Load()
+	return end != 0 && end < t.UnixNano()
+}
+
 func (c *callers) setIdleTimeout(d time.Duration) { c.idleTimeout.Store(int64(d)) }
 
 func (c *callers) publishedIdleTimeout() time.Duration { return time.Duration(c.idleTimeout.Load()) }
