ingress: connections that time out don't end a stream that was given up for silence

A stream was cut if all endpoints accepted no connections for a second or so: it was given up for the silence of its endpoint, the connection to the next one timed out, and so did that to the first one, to which it went back.

An attempt that went back and whose connection timed out has sent nothing and says no more than the silence did: the request may go back again, when the endpoint, which is down by then, is found up again. A refused connection still ends it.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -24,6 +24,7 @@
 	lastMaybeSent   bool                  // delivery.maybeSent of the last attempt
 	lastResult      control.AttemptResult // of the last attempt
 	givenUp         []fleet.EndpointID    // endpoints of attempts given up for silence, to which the request may go back
+	wentBack        bool                  // the last attempt was at one of givenUp
 }
 
 func (a *attemptHistory) add(d delivery) {
@@ -52,3 +53,12 @@
 		return control.ReasonNone
 	}
 }
+
+// endedBack notes the end of an attempt, after add. The request may not go back again after an attempt that did, unless
+// its connection timed out: the endpoint may still be only silent.
+func (a *attemptHistory) endedBack() {
+	if a.wentBack && (a.lastMaybeSent || a.lastResult != control.ConnectTimedOut) {
+		a.givenUp = nil
+	}
+	a.wentBack = false
+}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -157,6 +157,7 @@
 	for p.Reason == control.ReasonNone {
 		d := c.runAttempt(ctx, p.Attempt)
 		c.attempts.add(d)
+		c.attempts.endedBack()
 		if d.complete {
 			c.recordCompleted()
 			return
@@ -228,14 +229,13 @@
 	return c.placeWithBudget(c.placementRequest(c.response.events > 0))
 }
 
-// placeBack places an attempt at an endpoint of which an attempt was given up, once in the request.
+// placeBack places an attempt at an endpoint of which an attempt was given up. The request goes back once, not counting
+// connections that time out, see endedBack.
 func (c *call) placeBack() control.Placement {
 	req := c.placementRequest(c.response.events > 0)
 	req.Tried, req.Among = nil, c.attempts.givenUp
 	p := c.placeWithBudget(req)
-	if p.Reason == control.ReasonNone {
-		c.attempts.givenUp = nil
-	}
+	c.attempts.wentBack = p.Reason == control.ReasonNone
 	return p
 }
 
