ingress: the silence test changes the configuration once all requests run

With -race, TestSilenceOfSoundEndpointsEndsNoResponse failed once: 43 requests were refused with 503 "no_endpoint", all with no attempt and at the revision that moves the routes. They were sent up to 350 ms after the first one and came after the change, which was 600 ms after the start; the refusals are right.

The change now follows the arrival of all requests at endpoints, so that each of them runs when it comes, which is stricter. The bounds are the same.

--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -103,6 +103,21 @@
 	ts.readStore()
 }
 
+// awaitRequests waits until n different requests have reached endpoints.
+func (ts *testServer) awaitRequests(n int) {
+	for end := time.Now().Add(silentCallerTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		ids := map[string]bool{}
+		requests, _, _ := ts.received()
+		for _, r := range requests {
+			ids[r.Header.Get("X-Id")] = true
+		}
+		if len(ids) >= n {
+			return
+		}
+	}
+	ts.t.Errorf("fewer than %d requests have reached endpoints", n)
+}
+
 // moveRoutes publishes a configuration that moves all routes to a service without endpoints.
 func (ts *testServer) moveRoutes() {
 	c := urgentConfig()
@@ -164,13 +179,16 @@
 						ts.server.control = busyControl{ts.control}
 						ts.publishUrgentConfig()
 						s.began = time.Now()
-						switch change {
-						case "routes moved":
-							defer time.AfterFunc(600*time.Millisecond, ts.moveRoutes).Stop()
-						case "others removed":
-							defer time.AfterFunc(600*time.Millisecond, func() { ts.removeEndpoints("e1", "e2") }).Stop()
-						}
 						var wg sync.WaitGroup
+						wg.Go(func() {
+							ts.awaitRequests(4 * perRoute)
+							switch change {
+							case "routes moved":
+								ts.moveRoutes()
+							case "others removed":
+								ts.removeEndpoints("e1", "e2")
+							}
+						})
 						for _, route := range []string{"idempotent", "non-idempotent", "stream", "resumable"} {
 							wg.Go(func() {
 								if n := ts.sendMany(perRoute, eventPause, route, eventsText(1, events)); n != 0 {
