--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -86,7 +86,7 @@
 		t.Run(name, func(t *testing.T) {
 			ts := startTestServer(t, func(_ int, conn net.Conn, _ *http.Request) { sendHeld(conn, answer.begin, answer.piece) })
 			var statuses map[int]int
-			peak := peakMemory(func() { statuses = sendAtOnce(ts, "idempotent", "body", "X-Wait-Ms", "800") })
+			peak := peakMemory(func() { statuses = sendAtOnce(ts, "idempotent", "body", "X-Wait-Ms", "1500") })
 			if peak > instanceBytes {
 				t.Errorf("peak of %d MiB with %d answers at once, an instance has %d MiB", peak>>20, answersAtOnce, instanceBytes>>20)
 			}
