--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -133,8 +133,17 @@
 	return e.mode, e.mode != modeHealthy || time.Since(e.lastDisturbance) < requestTimeout
 }
 
+func (e *endpoint) startTime() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.startedAt
+}
+
 // ServeHTTP implements http.Handler.
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if platformtest.ServeReport(w, r, e.startTime()) {
+		return
+	}
 	f := platformtest.ReadForwarded(r.Header)
 	if f.Endpoint != e.id {
 		platformtest.RespondMisdirected(w, e.id)
