control: effects and random numbers in the order of IDs

Probes, failure reports, replicated origins, repeated queries and outlier checks went through maps, in random order, and with them the use of the state's random numbers.

They now go through sorted keys, and through one sorted list of endpoints that is rebuilt when the list of them changes.

--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -128,12 +129,12 @@
 // tickEndpoints ends grace periods, deletes the state of removed endpoints and starts probes.
 func (s *State) tickEndpoints(now boottime.Instant) {
 	deleted := false
-	for id, e := range s.endpoints {
+	for _, e := range s.endpointList {
 		if e.graceUntil != 0 && !now.Before(e.graceUntil) {
 			s.removeEndpoint(now, e)
 		}
 		if e.removedAt != 0 && e.inFlight == 0 && now.Sub(e.removedAt) > removedEndpointRetention {
-			delete(s.endpoints, id)
+			delete(s.endpoints, e.ID)
 			deleted = true
 		}
 		s.tickProbe(now, e)
@@ -143,12 +144,14 @@
 	}
 }
 
-// indexServices rebuilds the endpoints of each service, in the order of their IDs.
+// indexServices rebuilds the list of endpoints and those of each service, in the order of their IDs. What has effects on
+// other processes, or uses random numbers, goes through the endpoints in this order, so that a simulation can be repeated.
 func (s *State) indexServices() {
 	clear(s.services)
 	clear(s.endpointsByShort)
 	var listed []uint32
-	for _, e := range s.endpoints {
+	s.endpointList = slices.SortedFunc(maps.Values(s.endpoints), func(a, b *endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for _, e := range s.endpointList {
 		s.services[e.Service] = append(s.services[e.Service], e)
 		s.endpointsByShort[e.shortID()] = e
 		if e.listed {
@@ -156,7 +159,4 @@
 		}
 	}
 	s.mesh.SetEndpoints(listed)
-	for _, es := range s.services {
-		slices.SortFunc(es, func(a, b *endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	}
 }
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -188,7 +188,7 @@
 // connect.
 func (s *State) ownFailureReports(now boottime.Instant) []wire.FailureReport {
 	var out []wire.FailureReport
-	for _, e := range s.endpoints {
+	for _, e := range s.endpointList {
 		h := &e.health
 		if h.ownDownAt != 0 && now.Sub(h.ownDownAt) <= failureReportTTL {
 			out = append(out, wire.FailureReport{Endpoint: e.shortID(), AgeMS: uint32(now.Sub(h.ownDownAt) / time.Millisecond), NoResponse: h.timedOut})
--- a/internal/control/origins.go
+++ b/internal/control/origins.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -70,7 +72,8 @@
 			batches[m.ID] = append(batches[m.ID], encodeOrigin(now, id, r))
 		}
 	}
-	for to, batch := range batches {
+	for _, to := range slices.Sorted(maps.Keys(batches)) {
+		batch := batches[to]
 		for len(batch) > 0 {
 			n := min(len(batch), originsPerMessage)
 			s.sendTo(members[to], wire.StreamOrigins{Origins: batch[:n]})
--- a/internal/control/outlier.go
+++ b/internal/control/outlier.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -72,8 +74,8 @@
 	if len(failed) == 0 {
 		return
 	}
-	for _, endpoints := range s.services {
-		s.checkService(now, endpoints, failed)
+	for _, service := range slices.Sorted(maps.Keys(s.services)) {
+		s.checkService(now, s.services[service], failed)
 	}
 }
 
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -60,6 +60,7 @@
 	unconfirmedEvacuations map[fleet.DataCentreID]bool
 	endpoints              map[fleet.EndpointID]*endpoint
 	endpointsByShort       map[uint32]*endpoint            // the same, by their short IDs
+	endpointList           []*endpoint                     // the same, in the order of their IDs
 	services               map[fleet.ServiceID][]*endpoint // in the order of their IDs
 	retryWindows           map[fleet.ServiceID]*retry.Window
 	retrySuccessRates      map[fleet.ServiceID]float64 // moving average of the success of retries after endpoints' own failures
--- a/internal/origin/lookup.go
+++ b/internal/origin/lookup.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -104,7 +106,8 @@
 
 // Tick ends the lookups that are overdue, and calls repeat for each gateway that is to be asked once more.
 func (s *Lookups) Tick(now boottime.Instant, repeat func(number uint32, l *Lookup, to fleet.InstanceID)) {
-	for number, l := range s.pending {
+	for _, number := range slices.Sorted(maps.Keys(s.pending)) {
+		l := s.pending[number]
 		if now.Sub(l.startedAt) >= lookupTimeout {
 			delete(s.pending, number)
 			l.end(0)
@@ -114,7 +117,7 @@
 			continue
 		}
 		l.repeated = true
-		for to := range l.waiting {
+		for _, to := range slices.Sorted(maps.Keys(l.waiting)) {
 			repeat(number, l, to)
 		}
 	}
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -9,6 +9,7 @@
 package origin
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -89,7 +90,7 @@
 }
 
 // Unreplicated returns the streams that this gateway forwarded and whose records it has not sent to others, of
-// the services for which include returns true.
+// the services for which include returns true, in the order of their IDs.
 func (t *Table) Unreplicated(include func(fleet.ServiceID) bool) []StreamID {
 	var out []StreamID
 	for id, r := range t.records {
@@ -97,6 +98,7 @@
 			out = append(out, id)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
