--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/dandelionvane/dandelionvane/internal/attempts"
 	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
 
@@ -21,6 +22,8 @@
 	mayHaveRunCount int                   // attempts in which the request may have run
 	lastMaybeSent   bool                  // delivery.maybeSent of the last attempt
 	lastResult      control.AttemptResult // of the last attempt
+	givenUp         []fleet.EndpointID    // endpoints of attempts given up for silence, to which the request may go back
+	wentBack        bool                  // the last attempt was at one of givenUp
 }
 
 func (a *attemptHistory) add(d delivery) {
@@ -31,7 +34,17 @@
 	}
 }
 
-// retryDenied returns the reason that rules out another attempt, or ReasonNone.
+// retryDenied returns the reason that rules out another attempt, or ReasonNone. MaxAttempts limits the endpoints at which a
+// request may run: going back to one in givenUp is not ruled out by it.
 func (a *attemptHistory) retryDenied(r *routing.Route) control.Reason {
 	return attempts.RetryDenied(a.count, a.mayHaveRunCount, r)
 }
+
+// endedBack notes the end of an attempt, after add. The request may not go back again after an attempt that did, unless
+// its connection timed out: the endpoint may still be only silent.
+func (a *attemptHistory) endedBack() {
+	if a.wentBack && (a.lastMaybeSent || a.lastResult != control.ConnectTimedOut) {
+		a.givenUp = nil
+	}
+	a.wentBack = false
+}
