controltest: whole requests of a fleet amid changes, and a test of their outcomes

The simulation of the fleet could not show this: its requests had no kinds, no deadlines and no retry rules, and gateways had no planned stop.

controltest plays calls now: idempotent, non-idempotent, resumable and other streams, with the steps of package ingress (admission, placement, attempts, watchdog, retries), each an event of its own; endpoints that are silent; planned stops of gateways; kills that end what they handle.

Each request has an outcome by its deadline; a refused one never ran; one that may run once ran once; a 502 or cut stream has an endpoint's own failure before it; a 401 or 404 is backed by a configuration.

Not simulated: a caller that resumes a cut stream at another gateway (origins_test.go does), partitions between gateways and endpoints, frozen gateways, refusals of full endpoints.

--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -30,12 +30,14 @@
 
 	incarnation fleet.Incarnation
 	deferred    []func()
+	calls       map[*call]bool // that the process handles
+	closed      bool           // it takes no more requests because of a planned stop
 }
 
 // Start starts a new process with an empty state.
 func (n *Node) Start() {
 	w := n.World
-	n.incarnation = fleet.Incarnation(w.rng.Uint32())
+	n.incarnation, n.closed = fleet.Incarnation(w.rng.Uint32()), false
 	o := control.Options{
 		Self:                 mesh.Member{ID: n.ID, DataCentre: n.DataCentre, Addr: string(n.ID), ControlAddr: string(n.ID)},
 		RandomSeed:           w.rng.Uint64(),
--- a/internal/controltest/request.go
+++ b/internal/controltest/request.go
@@ -14,9 +14,10 @@
 	fleet.Endpoint
 	ServiceTime time.Duration
 	Slots       int
-	Down        bool // it refuses connections
-	Blackholed  bool // it does not reply to anything
-	Failing     bool // it responds with a failure of its own
+	Down        bool             // it refuses connections
+	Blackholed  bool             // it does not reply to anything
+	Failing     bool             // it responds with a failure of its own
+	SilentUntil boottime.Instant // it is sound, but sends nothing before
 	InFlight    int
 	Arrivals    []boottime.Instant
 
