control: the lifetime of streams shrinks only after the streams of before

A stream whose endpoint broke off was cut with "origin_unknown", although other endpoints of its version were there, if a configuration with shorter timeouts had been published after its request was admitted: the record of the version at which it began expired after the lifetime that follows from the new timeouts. For the same reason a service could count as having one version only while streams of another one were still running.

A shorter lifetime applies now once the former one has passed since its configuration; a longer one applies at once.

--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -131,7 +131,7 @@
 	switch r := r.(type) {
 	case published.Config:
 		s.table = routing.NewTable(r.Config)
-		s.adoptStreamLifetime(r.Config)
+		s.adoptStreamLifetime(now, r.Config)
 		s.log(event.ConfigAdopted, "version", r.Config.Version, "revision", s.mirror.Revision(),
 			"age_ms", s.SnapshotAge(now).Milliseconds(), "routes", len(r.Config.Routes))
 	case published.Evacuation:
--- a/internal/control/origins.go
+++ b/internal/control/origins.go
@@ -26,8 +26,11 @@
 	table          *origin.Table
 	lookups        origin.Lookups
 	histories      map[fleet.ServiceID]*origin.History
-	streamLifetime time.Duration
-	checkedAt      boottime.Instant
+	streamLifetime time.Duration // of the streams that may still last
+
+	shorterLifetime time.Duration    // of streams admitted now, if it is shorter; 0: it is not
+	shorterFrom     boottime.Instant // when all streams have the shorter lifetime
+	checkedAt       boottime.Instant
 }
 
 func newOrigins() origins {
@@ -195,6 +198,7 @@
 		return
 	}
 	o.checkedAt = now
+	s.tickStreamLifetime(now)
 	o.table.Expire(now)
 	s.replicateWhereVersionsDiffer(now)
 }
--- a/internal/control/version.go
+++ b/internal/control/version.go
@@ -30,15 +30,30 @@
 	clockTolerance = 5 * time.Second
 )
 
-// adoptStreamLifetime derives how long streams may last from the routes.
-func (s *State) adoptStreamLifetime(c *routing.Config) {
+// adoptStreamLifetime derives how long streams may last from the routes. A shorter lifetime applies once the streams
+// that were admitted before have ended.
+func (s *State) adoptStreamLifetime(now boottime.Instant, c *routing.Config) {
 	longest := time.Duration(0)
 	for i := range c.Routes {
 		if c.Routes[i].Resumable {
 			longest = max(longest, c.Routes[i].Timeout)
 		}
 	}
-	s.origins.streamLifetime = min(max(streamLifetimeFactor*longest, minStreamLifetime), maxStreamLifetime)
+	o := &s.origins
+	lifetime := min(max(streamLifetimeFactor*longest, minStreamLifetime), maxStreamLifetime)
+	switch {
+	case lifetime >= o.streamLifetime:
+		o.streamLifetime, o.shorterLifetime = lifetime, 0
+	case lifetime != o.shorterLifetime:
+		o.shorterLifetime, o.shorterFrom = lifetime, now.Add(o.streamLifetime)
+	}
+}
+
+// tickStreamLifetime applies a shorter lifetime that is due.
+func (s *State) tickStreamLifetime(now boottime.Instant) {
+	if o := &s.origins; o.shorterLifetime != 0 && now >= o.shorterFrom {
+		o.streamLifetime, o.shorterLifetime = o.shorterLifetime, 0
+	}
 }
 
 // noteVersionReplaced records that an endpoint no longer has its version.
