--- a/internal/control/origins.go
+++ b/internal/control/origins.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -25,8 +27,11 @@
 	lookups        origin.Lookups
 	unproven       []unprovenRecord
 	histories      map[fleet.ServiceID]*origin.History
-	streamLifetime time.Duration
-	checkedAt      boottime.Instant
+	streamLifetime time.Duration // of the streams that may still last
+
+	shorterLifetime time.Duration    // of streams admitted now, if it is shorter; 0: it is not
+	shorterFrom     boottime.Instant // when all streams have the shorter lifetime
+	checkedAt       boottime.Instant
 }
 
 func newOrigins() origins {
@@ -71,7 +76,8 @@
 			batches[m.ID] = append(batches[m.ID], encodeOrigin(now, id, r))
 		}
 	}
-	for to, batch := range batches {
+	for _, to := range slices.Sorted(maps.Keys(batches)) {
+		batch := batches[to]
 		for len(batch) > 0 {
 			n := min(len(batch), originsPerMessage)
 			s.sendTo(members[to], wire.StreamOrigins{Origins: batch[:n]})
@@ -208,6 +214,7 @@
 		return
 	}
 	o.checkedAt = now
+	s.tickStreamLifetime(now)
 	o.table.Expire(now)
 	s.replicateWhereVersionsDiffer(now)
 }
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// retryDenied returns the reason that rules out another attempt, or ReasonNone.
-// MaxAttempts of the route limits the endpoints at which a request may run: going back to one in givenUp is not ruled out.
+// retryDenied returns the reason that rules out another attempt, or ReasonNone. MaxAttempts limits the endpoints at which a
+// request may run: going back to one in givenUp is not ruled out by it.
 func (a *attemptHistory) retryDenied(r *routing.Route) control.Reason {
 	return attempts.RetryDenied(a.count, a.mayHaveRunCount, r)
 }
--- a/internal/origin/lookup.go
+++ b/internal/origin/lookup.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -119,7 +121,8 @@
 
 // Tick ends the lookups that are overdue, and calls repeat for each gateway that is to be asked once more.
 func (s *Lookups) Tick(now boottime.Instant, repeat func(number uint32, l *Lookup, to fleet.InstanceID)) {
-	for number, l := range s.pending {
+	for _, number := range slices.Sorted(maps.Keys(s.pending)) {
+		l := s.pending[number]
 		if now.Sub(l.startedAt) >= lookupTimeout {
 			delete(s.pending, number)
 			l.End(0)
@@ -129,7 +132,7 @@
 			continue
 		}
 		l.repeated = true
-		for to := range l.waiting {
+		for _, to := range slices.Sorted(maps.Keys(l.waiting)) {
 			repeat(number, l, to)
 		}
 	}
