control: no retry is counted for a stream whose version is not certain

Callers of other requests ended with retry_budget: while the version of a begun stream could not be named, each check of the watchdog, four a second, counted a retry that was then not placed (origin_unknown), until the budget of the service was used up.

TestRetryOfAStreamOfUnknownVersionUsesNoBudget, found in review, failed: 5 retries counted, 0 made. GiveUp and PlaceRetry now resolve the version before anything is counted.

--- a/internal/control/budget.go
+++ b/internal/control/budget.go
@@ -49,7 +49,11 @@
 // PlaceRetry is Place for a request whose last attempt ended with the given result. The retry is counted against the
 // budget if an endpoint is eligible; ReasonRetryBudget means that the budget does not allow it.
 func (s *State) PlaceRetry(now boottime.Instant, req PlacementRequest, lastResult AttemptResult) Placement {
-	if c := s.classify(now, s.atStreamVersion(now, req)); len(c.eligible) > 0 && !s.AllowRetry(now, req.Service, lastResult) {
+	resolved := s.atStreamVersion(now, req)
+	if resolved.streamUnknown() {
+		return Placement{Reason: ReasonOriginUnknown}
+	}
+	if c := s.classify(now, resolved); len(c.eligible) > 0 && !s.AllowRetry(now, req.Service, lastResult) {
 		return Placement{Reason: ReasonRetryBudget}
 	}
 	return s.Place(now, req)
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -72,10 +72,38 @@
 	return req
 }
 
+// streamUnknown reports whether a request goes on with a stream whose version is not certain. It must be at its stream
+// version.
+func (r *PlacementRequest) streamUnknown() bool { return r.Stream != "" && r.Version == 0 }
+
+// CouldPlace reports whether an endpoint exists that a request could be sent to later, although it may be down or
+// unwilling now.
+func (s *State) CouldPlace(now boottime.Instant, req PlacementRequest) bool {
+	req = s.atStreamVersion(now, req)
+	for _, e := range s.services[req.Service] {
+		if s.usable(now, e) && req.mayRunAt(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRunAt reports whether a request may run at an endpoint by its version and the endpoints tried before.
+func (r *PlacementRequest) mayRunAt(e *endpoint) bool {
+	switch {
+	case r.Version != 0 && e.version != r.Version:
+		return false
+	case len(r.Among) > 0 && !slices.Contains(r.Among, e.ID):
+		return false
+	default:
+		return !slices.Contains(r.Tried, e.ID)
+	}
+}
+
 // Place chooses an endpoint for a request and counts the attempt there until AttemptEnded.
 func (s *State) Place(now boottime.Instant, req PlacementRequest) Placement {
 	req = s.atStreamVersion(now, req)
-	if req.Stream != "" && req.Version == 0 {
+	if req.streamUnknown() {
 		return Placement{Reason: ReasonOriginUnknown}
 	}
 	c := s.classify(now, req)
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -36,7 +36,8 @@
 	if result == ResponseOverdue {
 		a.Retry.maxSilence = a.HangTimeout / 2
 	}
-	if result == 0 || len(s.classify(now, s.atStreamVersion(now, a.Retry)).eligible) == 0 {
+	resolved := s.atStreamVersion(now, a.Retry)
+	if result == 0 || resolved.streamUnknown() || len(s.classify(now, resolved).eligible) == 0 {
 		return nil
 	}
 	p := s.PlaceRetry(now, a.Retry, result)
