ingress: a request that cannot be served any more is not held

A request of which an attempt had been given up for silence waited for an endpoint until its deadline, also with its attempts used up and the endpoint that it could go back to leaving: 504 after the whole 4 s (TestRequestThatCannotBeServedAnyMoreIsNotHeld, found in review).

It now waits only while another attempt is possible: the route allows one, or an endpoint that was given up is still there.

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -193,11 +193,11 @@
 // its endpoint's silence does not end for lack of an endpoint or of retry budget: without an endpoint's own failure to
 // respond with, it waits for them until ctx ends.
 func (c *call) placeNext(ctx context.Context) control.Placement {
-	if c.reserved == nil {
+	if c.reserved == nil && c.mayBePlaced() {
 		c.awaitOwnOrigin(ctx)
 	}
 	p := c.placeRetry()
-	for p.Reason != control.ReasonNone && len(c.attempts.givenUp) > 0 && c.response.deferredFailure == nil && ctx.Err() == nil {
+	for p.Reason != control.ReasonNone && len(c.attempts.givenUp) > 0 && c.response.deferredFailure == nil && ctx.Err() == nil && c.mayBePlaced() {
 		select {
 		case <-ctx.Done():
 		case <-time.After(overdueCheckInterval):
@@ -207,6 +207,19 @@
 	return p
 }
 
+// mayBePlaced reports whether another attempt is possible, now or later: the route allows it, or an endpoint that was
+// given up is still there.
+func (c *call) mayBePlaced() bool {
+	if c.attempts.retryDenied(c.admission.Route) == control.ReasonNone {
+		return true
+	}
+	possible := false
+	if len(c.attempts.givenUp) > 0 {
+		c.s.control.Do(func(st *control.State, now boottime.Instant) { possible = st.CouldPlace(now, c.requestBack()) })
+	}
+	return possible
+}
+
 // placeRetry places the next attempt: the reserved one, or a new one if the route and the retry budget allow it. If
 // no other endpoint can take the request, it goes back to one that was given up for its silence.
 func (c *call) placeRetry() control.Placement {
@@ -236,13 +249,18 @@
 // placeBack places an attempt at an endpoint of which an attempt was given up. The request goes back once, not counting
 // connections that time out, see endedBack.
 func (c *call) placeBack() control.Placement {
-	req := c.placementRequest(c.response.events > 0)
-	req.Tried, req.Among = nil, c.attempts.givenUp
-	p := c.placeWithBudget(req)
+	p := c.placeWithBudget(c.requestBack())
 	c.attempts.wentBack = p.Reason == control.ReasonNone
 	return p
 }
 
+// requestBack returns the request of an attempt at an endpoint of which an attempt was given up.
+func (c *call) requestBack() control.PlacementRequest {
+	req := c.placementRequest(c.response.events > 0)
+	req.Tried, req.Among = nil, c.attempts.givenUp
+	return req
+}
+
 func (c *call) logRetry() {
 	event.LogFields(event.AttemptRetried, "request", c.meta.ID, "sends", c.attempts.count, "may_have_run", c.attempts.mayHaveRunCount, "left_ms", time.Until(c.deadline).Milliseconds())
 }
