ingress: an endpoint that closes after its report gets the request on a new connection

A stream ended as "endpoint broke off" after three sound endpoints whose reports carried "Connection: close", which may occur in any response (TestStreamGoesOnAtEndpointsThatCloseAfterTheirReport, found in review): each counted as broken and used up an attempt although nothing was sent.

The report itself was accepted, so the request follows on a new connection at once. Only a restart within that round trip goes unnoticed.

--- a/internal/ingress/incarnation.go
+++ b/internal/ingress/incarnation.go
@@ -24,7 +24,12 @@
 	check := exchange.Check{Target: a.s.codec.IncarnationPath(), Accept: func(status int, body []byte) error {
 		return a.checkIncarnation(askedAt, status, body)
 	}}
-	return a.s.client.DoChecked(ctx, a.placed.Addr, check, a.outboundRequest())
+	resp, err := a.s.client.DoChecked(ctx, a.placed.Addr, check, a.outboundRequest())
+	if errors.Is(err, exchange.ErrCheckConnClosed) {
+		// The report was accepted. Only a restart within the next round trip would go unnoticed.
+		return a.s.client.Do(ctx, a.placed.Addr, a.outboundRequest())
+	}
+	return resp, err
 }
 
 // checkIncarnation returns an error if a report has another incarnation than the endpoint's entry. An endpoint that
