--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -109,15 +109,15 @@
 	a.reportEndpointState(&meta)
 	d := delivery{maybeSent: true, mayHaveRun: true}
 	switch {
+	case meta.RequestID != "" && meta.RequestID != a.meta.ID:
+		a.err = errors.Errorf("the response belongs to request %s", meta.RequestID)
+		return d
 	case meta.Misdirected && meta.Endpoint != a.placed.Endpoint:
 		a.result = control.Misdirected
 		return delivery{maybeSent: true}
 	case meta.NotRun:
 		a.result = control.RequestRefused
 		return delivery{maybeSent: true}
-	case meta.RequestID != "" && meta.RequestID != a.meta.ID:
-		a.err = errors.Errorf("the response belongs to request %s", meta.RequestID)
-		return d
 	case !meta.HasStamp:
 		a.err = errors.New("the response lacks the endpoint's stamp header")
 		return d
