--- a/internal/soak/excuse.go
+++ b/internal/soak/excuse.go
@@ -29,13 +29,14 @@
 	routeStale                         // the route had been missing in a configuration that may be in force where the store is away
 	gatewayThrottled                   // the process got a fifth of a processor
 	routeTargets                       // the route may lead to another service
+	lateInStop                         // so late in a planned stop that only a request that ends in time may be begun
 	gatewayDisturbed = gatewayKilled | gatewayPaused
 	brokenOff        = endpointBroken | endpointFailing | endpointLink
 )
 
 var causeNames = []string{
 	"gateway killed", "gateway paused", "gateway down", "grace period over", "endpoint broken", "endpoint failing", "endpoint's link disturbed", "endpoint silent",
-	"store away", "key uncertain", "route removed", "time over", "close announced", "caller left", "configuration changed", "planned stop", "reload", "service emptied", "route back", "gateway throttled", "route moved",
+	"store away", "key uncertain", "route removed", "time over", "close announced", "caller left", "configuration changed", "planned stop", "reload", "service emptied", "route back", "gateway throttled", "route moved", "late in stop",
 }
 
 func (c cause) String() string {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -159,6 +159,9 @@
 		}
 	}
 	out := r.timeline.between(req.sentAt, req.endedAt, subjects...)
+	if r.timeline.between(req.sentAt, req.sentAt, req.gateway)&lateInStop != 0 {
+		out &^= graceOver
+	}
 	delay := configDelay
 	if out&(storeAway|gatewayPaused) != 0 {
 		delay = oldestLimit
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -175,3 +175,18 @@
 		}
 	}
 }
+
+// TestEndOfAStopExcusesNoRequestBegunLate checks that a gateway may not begin a request late in a planned stop and cut it off.
+func TestEndOfAStopExcusesNoRequestBegunLate(t *testing.T) {
+	stop := time.Now()
+	tl := &timeline{}
+	tl.add(&span{cause: lateInStop, subject: "g-1", from: stop.Add(lastBeginDelay)})
+	tl.add(&span{cause: graceOver, subject: "g-1", from: stop.Add(gracePeriod - stopReserve)})
+	r := &run{timeline: tl, operator: newOperator(nil, tl, firstKey, 0)}
+	for sentAfter, want := range map[time.Duration]bool{2 * time.Second: true, 5 * time.Second: false} {
+		req := callerRecord{gateway: "g-1", kind: "resumable", key: firstKey, sentAt: stop.Add(sentAfter), endedAt: stop.Add(gracePeriod)}
+		if got := excused(NoAnswerKept, r.circumstances(NoAnswerKept, req, &endpointRecord{count: 1})); got != want {
+			t.Errorf("sent %v after the signal: excused %t, want %t", sentAfter, got, want)
+		}
+	}
+}
--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// lastBeginDelay is how long after the stop signal a request may still be begun that the end of the grace period cuts off.
+const lastBeginDelay = 3 * time.Second
+
 // noteSignal records the circumstances that a signal brings about; g.mu must be held.
 func (g *gateway) noteSignal(s syscall.Signal) {
 	t := g.fleet.timeline
@@ -19,6 +22,7 @@
 		g.stoppingSince = now
 		g.beginAt(plannedStop, now)
 		g.beginAt(gatewayDown, now.Add(rotationDelay))
+		g.beginAt(lateInStop, now.Add(lastBeginDelay))
 		g.beginAt(graceOver, now.Add(gracePeriod-stopReserve))
 	case syscall.SIGSTOP:
 		if g.continued == nil {
