ingress: an answer of a process that was held up is sent

Callers saw a connection closed without an answer. The write deadline was the end of the request's time plus a second, counted from its arrival. A process that is frozen or throttled beyond that could write neither the finished 200 nor the 504: every write failed at once, and nothing recorded it.

The deadline bounds how long a caller may take to read, so it now counts from when an answer or an event begins to be written, and not before the end of the request's time: writeTimeout, one second as before. A caller that reads nothing is given up as early as before.

The end of an answer is flushed by the handler, so its error is seen; error responses get a Content-Length for that. A failed write of a complete answer is recorded as caller_cut and callers_ended, with caller_left or the new cause caller_stalled, and no longer as answered. A trace names the cause.

Not covered: a process that is held up in the middle of a write that waits for the caller's window.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -25,9 +25,13 @@
 	lastEventNumber uint64            // lastEventID as a number, if that is set
 	deferredFailure *bufferedResponse // last 5xx response, sent if no other attempt succeeds; nil once a stream has started
 
-	callerDisconnected bool // a write to the caller failed
+	complete           bool  // the whole response was written, but part of it may be buffered
+	callerDisconnected bool  // a write to the caller failed
+	writeErr           error // of that write
 }
 
+func (r *callerResponse) writeFailed(err error) { r.callerDisconnected, r.writeErr = true, err }
+
 // bufferedResponse is a complete response that is not an event stream.
 type bufferedResponse struct {
 	status int
@@ -86,7 +90,8 @@
 	c.w.WriteHeader(d.status)
 	for _, chunk := range d.body.Parts() {
 		if _, err := c.w.Write(chunk); err != nil {
-			return // the caller has disconnected
+			c.response.writeFailed(err)
+			return
 		}
 	}
 }
@@ -131,12 +136,12 @@
 	}
 }
 
-// boundWrites ends writes to the caller a while after its timeout, counted from the arrival of the
-// request: it may keep the connection and read nothing. Each request sets it, because a keep-alive
-// connection would keep that of the last one.
+// boundWrites bounds writes to the caller by its timeout, counted from the arrival of the request, and writeTimeout: it
+// may keep the connection and read nothing. Each request sets the deadline, because a keep-alive connection would keep
+// that of the last one. It is extended when an answer or an event begins to be written.
 func (c *call) boundWrites(callerTimeout time.Duration) {
-	until := c.arrivedAt.Add(callerTimeout + resumeSlack)
-	_ = http.NewResponseController(c.w).SetWriteDeadline(until) // not supported by recorders of tests
+	c.w.endsAt = c.arrivedAt.Add(callerTimeout)
+	c.w.extendWriteDeadline()
 }
 
 // mayEndStream reports whether the stream may end at this point. A new stream has at least
@@ -191,12 +196,14 @@
 	a.response.events++
 	a.events++
 	a.response.lastEventID, a.response.lastEventNumber = string(ev.ID), n
+	a.w.extendWriteDeadline()
 	_, err := a.w.Write(ev.Raw)
 	if err == nil {
-		err = http.NewResponseController(a.w).Flush()
+		err = a.w.flush()
 	}
 	if err != nil {
-		a.err, a.result, a.response.callerDisconnected = err, control.Cancelled, true
+		a.err, a.result = err, control.Cancelled
+		a.response.writeFailed(err)
 	}
 	return err == nil
 }
--- a/internal/ingress/answerwriter.go
+++ b/internal/ingress/answerwriter.go
@@ -12,14 +12,18 @@
 // to 256 KiB of it before the answer, so that the connection can be kept.
 const unreadBodyTimeout = 100 * time.Millisecond
 
-// answerWriter announces with each answer what becomes of its connection.
+// writeTimeout limits how long the caller may take to receive what is written to it once the time of its request is over.
+const writeTimeout = time.Second
+
+// answerWriter announces with each answer what becomes of its connection, and bounds the time in which it is written.
 type answerWriter struct {
 	http.ResponseWriter
 	r        *http.Request
 	callers  *callers
-	sent     bool // the head was sent
-	bodyRead bool // the request's body was read to its end
-	bodyLate bool // the time for the request's body is over
+	endsAt   time.Time // end of the request's time; writes may take until then in any case
+	sent     bool      // the head was sent
+	bodyRead bool      // the request's body was read to its end
+	bodyLate bool      // the time for the request's body is over
 }
 
 // Unwrap is used by http.ResponseController.
@@ -29,6 +33,7 @@
 func (w *answerWriter) WriteHeader(status int) {
 	if !w.sent && status >= http.StatusOK {
 		w.sent = true
+		w.extendWriteDeadline()
 		w.announce()
 		w.limitUnreadBody()
 	}
@@ -43,6 +48,21 @@
 	return w.ResponseWriter.Write(p)
 }
 
+// extendWriteDeadline gives a write that begins now writeTimeout, counted from the end of the request's time if that is
+// still to come. The bound is on the caller's reading: a process that was held up beyond that time has not used it up.
+func (w *answerWriter) extendWriteDeadline() {
+	from := time.Now()
+	if from.Before(w.endsAt) {
+		from = w.endsAt
+	}
+	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(from.Add(writeTimeout)) // not supported by recorders of tests
+}
+
+// flush sends what is buffered.
+func (w *answerWriter) flush() error {
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
 // announce sets the header that tells how long the connection is kept: Keep-Alive with whole seconds, or "Connection:
 // close".
 func (w *answerWriter) announce() {
--- a/internal/ingress/endings.go
+++ b/internal/ingress/endings.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/event"
 )
@@ -16,6 +19,7 @@
 // Causes of the end of a caller's connection.
 const (
 	EndCallerLeft    EndCause = iota + 1 // the caller closed its connection or its sending side
+	EndCallerStalled                     // the caller did not read what was written to it
 	EndDeadline                          // the deadline passed after a stream had begun
 	EndEndpointBroke                     // the endpoint broke off a stream, which cannot be retried
 	EndNoEndpoint                        // no endpoint could continue a stream
@@ -33,6 +37,8 @@
 	switch e {
 	case EndCallerLeft:
 		return "caller_left"
+	case EndCallerStalled:
+		return "caller_stalled"
 	case EndDeadline:
 		return "deadline"
 	case EndEndpointBroke:
@@ -75,20 +81,62 @@
 // cut closes the caller's connection without a complete answer. It does not return: net/http closes the
 // connection when the handler panics with http.ErrAbortHandler.
 func (c *call) cut(cause EndCause) {
+	c.recordCut(cause)
+	panic(http.ErrAbortHandler)
+}
+
+// recordCut records that the caller's connection ends without a complete answer.
+func (c *call) recordCut(cause EndCause) {
+	detail := ""
+	if c.response.writeErr != nil {
+		detail = c.response.writeErr.Error()
+	}
 	event.LogFields(event.CallerCut, "request", c.meta.ID, "cause", cause, "last_attempt", c.attempts.lastResult, "sends", c.attempts.count,
-		"status", c.response.status, "events", c.response.events, "elapsed_ms", c.elapsed())
+		"status", c.response.status, "events", c.response.events, "elapsed_ms", c.elapsed(), "err", detail)
 	c.s.meter.callersEnded(cause, 1)
-	panic(http.ErrAbortHandler)
+}
+
+// disconnectCause returns why the connection of the request has ended.
+func (c *call) disconnectCause() EndCause {
+	if errors.Is(c.response.writeErr, os.ErrDeadlineExceeded) {
+		return EndCallerStalled
+	}
+	return c.s.endCause()
+}
+
+// finishAnswer sends the rest of the answer. If that or a write before it failed, it records the end of the connection,
+// which net/http then closes.
+func (c *call) finishAnswer() {
+	if c.response.writeErr == nil {
+		c.w.extendWriteDeadline()
+		c.response.writeErr = c.w.flush()
+	}
+	if c.response.writeErr == nil {
+		if c.response.complete {
+			c.recordAnswered()
+		}
+		return
+	}
+	cause := c.disconnectCause()
+	if c.response.complete { // otherwise its outcome was recorded before
+		c.recordDisconnected(cause)
+	}
+	c.recordCut(cause)
 }
 
 // endDisconnected ends a request whose connection has ended. It does not return.
 func (c *call) endDisconnected() {
-	cause := c.s.endCause()
+	cause := c.disconnectCause()
+	c.recordDisconnected(cause)
+	c.cut(cause)
+}
+
+// recordDisconnected records the outcome of a request whose connection ended before its answer was sent.
+func (c *call) recordDisconnected(cause EndCause) {
 	if cause == EndCallerLeft {
 		event.LogFields(event.CallerLeft, "request", c.meta.ID, "after_ms", c.elapsed(), "attempts", c.attempts.count)
 	}
 	c.s.meter.requestEnded(c, cause.String())
-	c.cut(cause)
 }
 
 // stackLines is the number of lines of a panic's stack that are logged.
@@ -110,12 +158,13 @@
 		c.cut(EndInternalError)
 	}
 	c.respondInternalError()
+	c.finishAnswer()
 }
 
 // respondInternalError sends a 500 without the headers of an endpoint's response.
 func (c *call) respondInternalError() {
 	clear(c.w.Header())
-	http.Error(c.w, "a fault of the gateway", http.StatusInternalServerError)
+	c.writeError(http.StatusInternalServerError, "a fault of the gateway")
 }
 
 // firstLines returns the first n lines of a text.
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -1,8 +1,10 @@
 package ingress
 
 import (
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/control"
@@ -21,7 +23,7 @@
 	event.LogFields(event.RequestRejected, "request", c.meta.ID, "status", status, "why", detail, "host", c.r.Host,
 		"revision", c.admission.Revision, "age_ms", c.admission.SnapshotAge.Milliseconds())
 	c.s.meter.requestEnded(c, "rejected")
-	http.Error(c.w, detail, status)
+	c.writeError(status, detail)
 }
 
 // respondNotRun responds to a request that has not run: with 404 or 401 for an unknown route or
@@ -42,7 +44,7 @@
 		"elapsed_ms", c.elapsed(), "revision", c.admission.Revision, "age_ms", c.admission.SnapshotAge.Milliseconds())
 	c.s.meter.requestEnded(c, "refused")
 	c.s.codec.WriteRetryAfter(c.w.Header(), after)
-	http.Error(c.w, "not run: "+reason.String(), http.StatusServiceUnavailable)
+	c.writeError(http.StatusServiceUnavailable, "not run: "+reason.String())
 }
 
 // endAttempts ends a request for which no further attempt is made.
@@ -80,11 +82,29 @@
 	if c.response.started {
 		c.cut(cause)
 	}
-	http.Error(c.w, detail, status)
+	c.writeError(status, detail)
 }
 
-// recordCompleted records that the whole response was sent to the caller.
-func (c *call) recordCompleted() {
+// writeError writes an error response of this process. Its length is set because the response is flushed before the
+// handler ends, see finishAnswer.
+func (c *call) writeError(status int, detail string) {
+	body := detail + "\n"
+	h := c.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("X-Content-Type-Options", "nosniff")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	c.response.status = status
+	c.w.WriteHeader(status)
+	if _, err := io.WriteString(c.w, body); err != nil {
+		c.response.writeFailed(err)
+	}
+}
+
+// recordCompleted notes that the whole response was written. It is recorded as answered once it is also sent.
+func (c *call) recordCompleted() { c.response.complete = true }
+
+// recordAnswered records that the whole response was sent to the caller.
+func (c *call) recordAnswered() {
 	event.LogFields(event.RequestAnswered, "request", c.meta.ID, "status", c.response.status, "sends", c.attempts.count,
 		"events", c.response.events, "elapsed_ms", c.elapsed())
 	c.s.meter.requestEnded(c, "answered")
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -53,4 +53,5 @@
 	defer s.inProgress.Add(-1)
 	defer c.recoverPanic()
 	c.serve()
+	c.finishAnswer()
 }
--- a/internal/trace/cause.go
+++ b/internal/trace/cause.go
@@ -94,6 +94,9 @@
 		}
 		return "the process ended while the request was in progress; " + t.describeLastAttempt()
 	}
+	if end := &t.RequestLines[len(t.RequestLines)-1]; end.Event == event.CallerCut {
+		return fmt.Sprintf("the caller's connection was closed before the answer was complete (%s); %s", end.Get("cause"), t.describeLastAttempt())
+	}
 	return "the log ends while the request was in progress: the process was killed, or its last lines are missing; " + t.describeLastAttempt()
 }
 
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -28,6 +28,9 @@
 I0824 04:50:17.600000   23252 endings.go:79] "caller_cut" event=512 request="r-left" cause="caller_left" sends=0
 I0824 04:50:17.700000   23252 call.go:79] "request_admitted" event=505 request="r-fault" route="r" revision=15 age_ms=105
 E0824 04:50:17.700000   23252 endings.go:79] "handler_panicked" event=513 request="r-fault" cause="internal_error" panic="no such index"
+I0824 04:50:30.000000   23252 call.go:79] "request_admitted" event=505 request="r-stalled" route="r" revision=15 age_ms=105
+I0824 04:50:31.000000   23252 attempt.go:51] "attempt_ended" event=507 request="r-stalled" endpoint="e-2" result="answered" status=200 took_ms=100 err=""
+W0824 04:50:31.000000   23252 endings.go:79] "caller_cut" event=512 request="r-stalled" cause="caller_stalled" sends=1
 not an event
 I0824 nonsense] "x" event=1
 `
@@ -55,12 +58,13 @@
 		peerLines    int
 		cause        []string
 	}{
-		"r-good":   {4, 0, []string{"answered at the first attempt"}},
-		"r-broken": {4, 1, []string{"broke off after 7 events", "e-1", "unreachable", `connection "early"`, "reported it down", "another attempt"}},
-		"r-stale":  {1, 0, []string{"5200 ms before", "busy", "did not run", "500 ms"}},
-		"r-cut":    {2, 0, []string{"the process ended", "e-3"}},
-		"r-left":   {3, 0, []string{"the caller closed its connection after 99 ms"}},
-		"r-fault":  {2, 0, []string{"a fault of the gateway", "no such index"}},
+		"r-good":    {4, 0, []string{"answered at the first attempt"}},
+		"r-broken":  {4, 1, []string{"broke off after 7 events", "e-1", "unreachable", `connection "early"`, "reported it down", "another attempt"}},
+		"r-stale":   {1, 0, []string{"5200 ms before", "busy", "did not run", "500 ms"}},
+		"r-cut":     {2, 0, []string{"the process ended", "e-3"}},
+		"r-left":    {3, 0, []string{"the caller closed its connection after 99 ms"}},
+		"r-stalled": {3, 0, []string{"closed before the answer was complete", "caller_stalled"}},
+		"r-fault":   {2, 0, []string{"a fault of the gateway", "no such index"}},
 	} {
 		tr, err := Reconstruct(parseLogs(t), id)
 		if err != nil {
