ingress: an own lack of memory is no failure of the endpoint

When this process had no memory for a response, the attempt counted as broken: sound endpoints were avoided, and an idempotent request was run again, for a response that could not be held either.

Such an attempt now has a result of its own, ResponseDropped, without effect on the endpoint's health or on the success rate of retries. It rules out further attempts, also a reserved one and going back to an endpoint that was silent. The caller gets a 502, or the endpoint's own failure if an attempt before had one.

No test covers a reservation that is made while the response is being read.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -24,7 +24,7 @@
 	ReasonMayHaveRun             // a failed endpoint may have run the request, which is not idempotent
 	ReasonOriginUnknown          // it is not known at which version the resumed stream began
 	ReasonVersionGone            // no endpoint of the version at which the resumed stream began is listed
-	ReasonNoMemory               // the memory for the bodies of requests is in use
+	ReasonNoMemory               // the memory for bodies is in use
 	ReasonStopping               // a planned stop would end before the request's time limit
 )
 
--- a/internal/control/result.go
+++ b/internal/control/result.go
@@ -22,6 +22,7 @@
 	Misdirected                                // another endpoint responded at the address
 	Cancelled                                  // the caller disconnected, or the deadline passed
 	EndpointRestarted                          // the endpoint reported another incarnation than its entry has; it got no request
+	ResponseDropped                            // this process had no memory for the response; says nothing about the endpoint
 )
 
 // String returns the result's stable name in logs and metrics.
@@ -47,6 +48,8 @@
 		return "cancelled"
 	case EndpointRestarted:
 		return "restarted"
+	case ResponseDropped:
+		return "dropped"
 	default:
 		return "invalid"
 	}
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -51,6 +51,9 @@
 		return false
 	}
 	body, err := a.s.memory.readResponse(resp)
+	if errors.Is(err, bytebudget.ErrExhausted) {
+		a.result = control.ResponseDropped
+	}
 	if err != nil {
 		a.err = err
 		return false
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -26,9 +26,19 @@
 		c.attempts.givenUp = append(c.attempts.givenUp, placed.Endpoint)
 	}
 	a.end(ctx, d)
+	if a.result == control.ResponseDropped {
+		c.endRetries(control.ReasonNoMemory)
+	}
 	return d
 }
 
+// endRetries rules out further attempts, the reserved one included.
+func (c *call) endRetries(r control.Reason) {
+	c.attempts.ruleOutRetries(r)
+	c.releaseReserved()
+	c.reserved = nil
+}
+
 func (a *attempt) runWatched(ctx context.Context, cancel context.CancelCauseFunc) delivery {
 	a.watchdog = newWatchdog(a, cancel)
 	defer func() { a.reserved = a.watchdog.stop() }()
@@ -53,7 +63,7 @@
 	}
 	a.s.control.Do(func(st *control.State, now boottime.Instant) {
 		st.AttemptEnded(now, a.placed, a.result)
-		if a.attempts.lastResult == control.EndpointFailed {
+		if a.attempts.lastResult == control.EndpointFailed && a.result != control.ResponseDropped {
 			st.RecordRetryResult(a.admission.Service, a.result == control.ResponseComplete)
 		}
 	})
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -24,6 +24,7 @@
 	lastResult      control.AttemptResult // of the last attempt
 	givenUp         []fleet.EndpointID    // endpoints of attempts given up for silence, to which the request may go back
 	wentBack        bool                  // the last attempt was at one of givenUp
+	ruledOut        control.Reason        // why no further attempt is allowed, whatever the counts; ReasonNone: they decide
 }
 
 func (a *attemptHistory) add(d delivery) {
@@ -34,9 +35,15 @@
 	}
 }
 
+// ruleOutRetries makes retryDenied deny every further attempt for a reason.
+func (a *attemptHistory) ruleOutRetries(r control.Reason) { a.ruledOut, a.givenUp = r, nil }
+
 // retryDenied returns the reason that rules out another attempt, or ReasonNone. MaxAttempts limits the endpoints at which a
 // request may run: going back to one in givenUp is not ruled out by it.
 func (a *attemptHistory) retryDenied(r *routing.Route) control.Reason {
+	if a.ruledOut != control.ReasonNone {
+		return a.ruledOut
+	}
 	return attempts.RetryDenied(a.count, a.mayHaveRunCount, r)
 }
 
