ingress: an attempt that panics is ended in the control state

A panic inside an attempt skipped AttemptEnded, so the endpoint's count of requests in flight stayed one too high for the life of the process, and the endpoint got less of the load.

The attempt is now ended by a deferred call: as cancelled if it had no result yet, because a fault of this program says nothing about the endpoint.

Before the change, TestAttemptThatPanicsIsEnded printed "e2 has 1 requests in flight" for a panic at the response's head and for one at the write to the caller. After it, it passes, and so does all of ./internal/ingress (103 s).

--- a/internal/control/result.go
+++ b/internal/control/result.go
@@ -20,7 +20,7 @@
 	ResponseOverdue                            // the connection is open, but the response is overdue
 	RequestRefused                             // the endpoint refused the request without running it
 	Misdirected                                // another endpoint responded at the address
-	Cancelled                                  // the caller disconnected, or the deadline passed
+	Cancelled                                  // the caller disconnected, the deadline passed, or a fault of this program ended it
 	EndpointRestarted                          // the endpoint reported another incarnation than its entry has; it got no request
 	ResponseDropped                            // this process had no memory for the response; says nothing about the endpoint
 )
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -14,24 +14,40 @@
 	"github.com/dandelionvane/dandelionvane/internal/upstream"
 )
 
-// runAttempt sends the request to one endpoint and forwards the response.
-func (c *call) runAttempt(ctx context.Context, placed *control.Attempt) delivery {
+// runAttempt sends the request to one endpoint and forwards the response. The attempt ends in the control state in any
+// case: after a panic as cancelled, because a fault of this program says nothing about the endpoint.
+func (c *call) runAttempt(ctx context.Context, placed *control.Attempt) (d delivery) {
 	a := &attempt{call: c, placed: placed, startedAt: time.Now()}
 	c.triedEndpoints = append(c.triedEndpoints, placed.Endpoint)
 	event.LogFields(event.AttemptPlaced, "request", c.meta.ID, "endpoint", placed.Endpoint, "version", placed.Version, "addr", placed.Addr, "load", placed.Load, "mean", placed.MeanLoad, "of", placed.EligibleCount, "fetch_at", placed.CacheSourceAddr)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	d := a.runWatched(ctx, cancel)
+	panicked := true
+	defer func() {
+		if panicked {
+			d = a.afterPanic()
+		}
+		a.end(ctx, d)
+	}()
+	d = a.runWatched(ctx, cancel)
+	panicked = false
 	if c.reserved != nil {
 		c.attempts.givenUp = append(c.attempts.givenUp, placed.Endpoint)
 	}
-	a.end(ctx, d)
 	if a.result == control.ResponseDropped {
 		c.endRetries(control.ReasonNoMemory)
 	}
 	return d
 }
 
+// afterPanic returns what is known about the delivery of an attempt that a panic ended.
+func (a *attempt) afterPanic() delivery {
+	if a.result == 0 {
+		a.result = control.Cancelled
+	}
+	return delivery{maybeSent: true, mayHaveRun: true}
+}
+
 // endRetries rules out further attempts, the reserved one included.
 func (c *call) endRetries(r control.Reason) {
 	c.attempts.ruleOutRetries(r)
