control: the first reader of a new era advertises it at once

Now the first reader of an era advertises its revision. Those that read the full content after a peer has reported the era still withhold theirs, so that readers at different heartbeats do not pull from each other.

--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -37,6 +37,7 @@
 	lastAnsweredRead boottime.Instant // send time of the latest read by this process or a peer that was answered
 	recoveredAt      boottime.Instant // when the store last recovered from an outage
 	eraSince         boottime.Instant // when this process learned that the store had returned with an older copy; 0: never
+	peersEra         uint64           // the highest era of a revision that a peer has reported
 }
 
 // noteStoreResponse records that the store answered a read sent at the given time. It must be called
@@ -67,6 +68,13 @@
 // relevant changes would pull for it.
 func (s *State) noteFullSnapshot(now boottime.Instant) { s.fullSnapshotAt = now }
 
+// firstOfEra reports whether the mirror has reached an era since it had a revision, while no peer has reported one of
+// that era. The peers then lack what the full snapshot contains.
+func (s *State) firstOfEra(before fleet.Revision) bool {
+	era := published.EraOf(s.mirror.Revision())
+	return before != 0 && published.EraOf(before) < era && s.freshness.peersEra < era
+}
+
 // lowerRevision lowers the revision of a full snapshot to the peer's, if the read that the peer
 // reports was sent after this process's last read ended. The peer then holds all changes that the full
 // snapshot contains, and no relevant one of them has a higher revision than the peer's.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -8,6 +8,7 @@
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/mesh"
+	"github.com/dandelionvane/dandelionvane/internal/published"
 	"github.com/dandelionvane/dandelionvane/internal/wire"
 )
 
@@ -156,6 +157,7 @@
 	before, age := s.mirror.Revision(), s.SnapshotAge(now)
 	at, confirms := s.mesh.ConfirmedAt(now, m)
 	confirms = confirms && m.Revision != 0
+	s.freshness.peersEra = max(s.freshness.peersEra, published.EraOf(m.Revision))
 	if confirms {
 		s.noteStoreResponse(now, at)
 	}
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -144,7 +144,7 @@
 	before := s.mirror.Revision()
 	s.noteMirrorConfirmed(now, u.Confirmed)
 	s.apply(now, u)
-	if u.Snapshot {
+	if u.Snapshot && !s.firstOfEra(before) {
 		s.noteFullSnapshot(now)
 	}
 	s.send(s.mesh.Broadcast(now, s.localStatus(now), s.mirror.Revision() != before))
