control: an on-demand read goes on with the full content after the history is gone

Cause: a gateway that learns of changes too large for a peer reads the store on demand. After the store's return with an older copy that read finds the history gone.

The demand now stands until the store is read or a read fails.

--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -157,6 +157,9 @@
 	r.reading = false
 	if errors.Is(err, published.ErrHistoryGone) {
 		r.fullReadNeeded = true
+		if r.onDemandPeer != "" {
+			r.onDemandAt = now
+		}
 		s.log(event.HistoryGone, "after", s.mirror.CoveredRevision())
 		return
 	}
