--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -144,7 +144,7 @@
 	before := s.mirror.Revision()
 	s.noteMirrorConfirmed(now, u.Confirmed)
 	s.apply(now, u)
-	if u.Snapshot {
+	if u.Snapshot && !s.firstOfEra(before) {
 		s.noteFullSnapshot(now)
 	}
 	s.send(s.mesh.Broadcast(now, s.localStatus(now), s.mirror.Revision() != before))
@@ -157,6 +157,9 @@
 	r.reading = false
 	if errors.Is(err, published.ErrHistoryGone) {
 		r.fullReadNeeded = true
+		if r.onDemandPeer != "" {
+			r.onDemandAt = now
+		}
 		s.log(event.HistoryGone, "after", s.mirror.CoveredRevision())
 		return
 	}
