--- a/internal/ingress/attempt_panic_test.go
+++ b/internal/ingress/attempt_panic_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -11,15 +12,15 @@
 
 // panicOnce is a Control that panics after one of its calls, and only then.
 type panicOnce struct {
-	next      Control
-	remaining int // calls before that one
+	next  Control
+	at    int32 // number of that call, from 1
+	calls atomic.Int32
 }
 
 // Do implements Control.
 func (c *panicOnce) Do(f func(*control.State, boottime.Instant)) {
 	c.next.Do(f)
-	c.remaining--
-	if c.remaining == -1 {
+	if c.calls.Add(1) == c.at {
 		panic("a fault")
 	}
 }
@@ -35,7 +36,7 @@
 func TestAttemptThatPanicsIsEnded(t *testing.T) {
 	for name, inject := range map[string]func(*testServer, *httptest.ResponseRecorder) http.ResponseWriter{
 		"at the response's head": func(ts *testServer, w *httptest.ResponseRecorder) http.ResponseWriter {
-			ts.server.control = &panicOnce{ts.control, 2} // admitted, placed
+			ts.server.control = &panicOnce{next: ts.control, at: 3} // admitted, placed, head received
 			return w
 		},
 		"at the write to the caller": func(_ *testServer, w *httptest.ResponseRecorder) http.ResponseWriter {
--- a/internal/ingress/late_answer_test.go
+++ b/internal/ingress/late_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,27 +39,27 @@
 
 // holdUpAtCall is a Control that is held up for a while after one of its calls.
 type holdUpAtCall struct {
-	next      Control
-	remaining int // calls before that one
-	pause     time.Duration
+	next  Control
+	at    int32 // number of that call, from 1
+	calls atomic.Int32
+	pause time.Duration
 }
 
 // Do implements Control.
 func (c *holdUpAtCall) Do(f func(*control.State, boottime.Instant)) {
 	c.next.Do(f)
-	if c.remaining == 0 {
+	if c.calls.Add(1) == c.at {
 		time.Sleep(c.pause)
 	}
-	c.remaining--
 }
 
 // TestRequestIsAnsweredWhereverTheProcessIsHeldUp guards against a connection that is closed without an answer.
 func TestRequestIsAnsweredWhereverTheProcessIsHeldUp(t *testing.T) {
-	for call, step := range []string{"admitted", "placed", "head received", "ended"} {
+	for i, step := range []string{"admitted", "placed", "head received", "ended"} {
 		t.Run(step, func(t *testing.T) {
 			ts := startTestServer(t, answerGood)
 			ts.publishTimeout(100 * time.Millisecond)
-			ts.server.control = &holdUpAtCall{ts.control, call, 100*time.Millisecond + resumeSlack + 200*time.Millisecond}
+			ts.server.control = &holdUpAtCall{next: ts.control, at: int32(i + 1), pause: 100*time.Millisecond + resumeSlack + 200*time.Millisecond}
 			g := ts.send("POST", "non-idempotent", "body")
 			if g.err != nil || g.status != http.StatusOK && g.status != http.StatusGatewayTimeout {
 				t.Errorf("status %d, %v; want 200 or 504", g.status, g.err)
