--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -22,7 +22,7 @@
 const connectTimeout = time.Second
 
 // clientConn is a caller's connection to a gateway. Unlike http.Transport, it can tell how much of a request
-// reached the gateway's machine.
+// reached the gateway's host.
 type clientConn struct {
 	gateway   *gateway
 	tcp       *net.TCPConn
--- a/internal/soak/outcome.go
+++ b/internal/soak/outcome.go
@@ -8,7 +8,7 @@
 // Outcome is how a request ended, as its caller observed it.
 type Outcome int
 
-// The outcomes. A request is whole if the gateway's machine has received its last byte.
+// The outcomes. A request is whole if the gateway's host has received its last byte.
 const (
 	Answered        Outcome = iota // complete 200 response
 	Refused                        // complete 503 or 429, which promise that the request does not run
@@ -51,7 +51,7 @@
 	kept         bool          // the connection had brought a response before
 	idle         time.Duration // for which a kept connection had been idle
 	announcedEnd bool          // the gateway had announced that the connection would be closed by the time of the request
-	receivedPart bool          // the gateway's machine received bytes of the request
+	receivedPart bool          // the gateway's host received bytes of the request
 	receivedAll  bool          // it received all of them
 	firstByte    bool          // a byte of the response was received
 	timedOut     bool          // the caller's deadline passed
