router: the tests' listeners use ports that no outgoing connection can take

The test took a free port from the ephemeral range, closed it and had the router listen there later; any outgoing connection of the machine may be given it meanwhile. It now takes ports as the deployments of the end-to-end tests do, below that range.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -175,7 +175,7 @@
 const addrsPerRouter = 3 // for callers, peers and operators
 
 func (d *Deployment) assignRouterAddrs(context.Context) error {
-	addrs, err := freeAddrs(addrsPerRouter * len(d.Spec.Routers))
+	addrs, err := FreeAddrs(addrsPerRouter * len(d.Spec.Routers))
 	if err != nil {
 		return err
 	}
@@ -251,7 +251,7 @@
 // doesn't publish the new addresses, because the platform may be unavailable.
 func (d *Deployment) ReplaceRouter(id fleet.InstanceID) error {
 	d.KillRouter(id)
-	addrs, err := freeAddrs(addrsPerRouter)
+	addrs, err := FreeAddrs(addrsPerRouter)
 	if err != nil {
 		return err
 	}
--- a/internal/deployment/ports.go
+++ b/internal/deployment/ports.go
@@ -23,8 +23,8 @@
 	ports map[int]bool
 }{ports: map[int]bool{}}
 
-// freeAddrs returns n loopback addresses whose ports are free for both TCP and UDP and have not been assigned before.
-func freeAddrs(n int) ([]string, error) {
+// FreeAddrs returns n loopback addresses whose ports are free for both TCP and UDP and have not been assigned before.
+func FreeAddrs(n int) ([]string, error) {
 	assignedPorts.Lock()
 	defer assignedPorts.Unlock()
 	var out []string
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -6,13 +6,13 @@
 	"encoding/hex"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/dandelionvane/dandelionvane/internal/deployment"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/keys"
 	"github.com/dandelionvane/dandelionvane/internal/settings"
@@ -132,10 +132,9 @@
 }
 
 func (f *testFleet) freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addrs, err := deployment.FreeAddrs(1)
 	f.check(err)
-	defer l.Close()
-	return l.Addr().String()
+	return addrs[0]
 }
 
 func (f *testFleet) start(r *testRouter) {
