--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -32,7 +32,7 @@
 	aliveAt               boottime.Instant // first response or connection after that; 0: none
 	incarnationNotBefore  boottime.Instant // its incarnation did not start before this time; 0: not known
 	version               origin.Version   // of its software
-	said                  reportedIncarnation
+	ownReport             reportedIncarnation
 	listedAtStart         bool              // it was listed when this process got its first snapshot
 	addrReused            bool              // another endpoint has responded at its address
 	unconfirmedUntil      boottime.Instant  // it had been removed and is in an older copy of the store's content; 0: no
@@ -75,7 +75,7 @@
 		e.announcedLeaving = false
 		e.health = health{}
 		e.entryNeededSince, e.failedAt, e.aliveAt = 0, 0, 0
-		e.said = reportedIncarnation{}
+		e.ownReport = reportedIncarnation{}
 		e.outlier = outlierState{}
 		e.incarnationKnownSince = now
 	}
--- a/internal/control/incarnation.go
+++ b/internal/control/incarnation.go
@@ -46,15 +46,15 @@
 
 // replaced reports whether an endpoint has said that it has another incarnation than its entry.
 func (e *endpoint) replaced(now boottime.Instant) bool {
-	return e.said.successor != 0 && now.Sub(e.said.successor) <= successorRetention
+	return e.ownReport.successor != 0 && now.Sub(e.ownReport.successor) <= successorRetention
 }
 
 // ask asks an endpoint for its incarnation unless its entry has none, it is down, or it was asked a moment ago.
 func (s *State) ask(now boottime.Instant, e *endpoint) {
-	if e.Incarnation == 0 || e.health.down || e.said.askedAt != 0 && now.Sub(e.said.askedAt) < askInterval {
+	if e.Incarnation == 0 || e.health.down || e.ownReport.askedAt != 0 && now.Sub(e.ownReport.askedAt) < askInterval {
 		return
 	}
-	e.said.askedAt = now
+	e.ownReport.askedAt = now
 	s.emit(AskIncarnation{ID: e.ID, Addr: e.Addr})
 }
 
@@ -65,14 +65,14 @@
 		return
 	}
 	if inc == e.Incarnation {
-		e.said.confirmed = max(e.said.confirmed, askedAt)
+		e.ownReport.confirmed = max(e.ownReport.confirmed, askedAt)
 		s.proveRecords(now)
 		return
 	}
 	if !e.replaced(now) {
 		s.log(event.EndpointReplaced, "endpoint", id, "incarnation", inc, "entry", e.Incarnation, "snapshot_age_ms", s.SnapshotAge(now).Milliseconds())
 	}
-	e.said.successor = now
+	e.ownReport.successor = now
 }
 
 // unprovenRecord is a lookup that waits for the proof of a record.
--- a/internal/control/version.go
+++ b/internal/control/version.go
@@ -174,7 +174,7 @@
 // the record was sent: the endpoint has said so later, or the store was read so much later that the entry of another
 // incarnation would have been there.
 func (s *State) incarnationProven(e *endpoint, r origin.Record) bool {
-	if e.said.confirmed >= r.SentAt {
+	if e.ownReport.confirmed >= r.SentAt {
 		return true
 	}
 	delay := reconnectRegistrationDelay
