--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 var scenarios = map[string]scenario{
 	"versions": playVersions,
 	"restore":  playRestore,
+	"tenants":  playTenants,
 }
 
 func main() {
--- a/review/standin/restore.go
+++ b/review/standin/restore.go
@@ -41,7 +41,7 @@
 	start, copied := time.Now(), w.store.backup()
 	w.record.printf("copy of the store")
 	at := func(d time.Duration) { time.Sleep(time.Until(start.Add(d))) }
-	sent := w.sendBookings(start.Add(restoreEnd))
+	sent := w.sendBookings([]string{keyA, keyB}, start.Add(restoreEnd))
 	at(revokeAt)
 	w.store.put("op/config", after, 0)
 	acked := time.Now()
@@ -98,8 +98,8 @@
 	key, gateway string
 }
 
-// sendBookings sends requests with both keys to each gateway that the platform has found ready, until the end.
-func (w *world) sendBookings(end time.Time) <-chan []booking {
+// sendBookings sends requests with keys in turn to each gateway that the platform has found ready, until the end.
+func (w *world) sendBookings(keys []string, end time.Time) <-chan []booking {
 	out := make(chan []booking, 1)
 	var mu sync.Mutex
 	var all []booking
@@ -118,7 +118,7 @@
 				if !ready {
 					continue
 				}
-				key := []string{keyA, keyB}[n%2]
+				key := keys[n%len(keys)]
 				a := request(client, g, "POST", bookPrefix+"2f", key, 2500*time.Millisecond, "", 0)
 				w.record.printf("client: %s with the key %s at %s answered %d, sent %.3f s ago", a.id, key, g.name, a.status, time.Since(a.sentAt).Seconds())
 				mu.Lock()
