--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,6 +28,7 @@
 	mu      sync.Mutex
 	process *engineProcess // nil while it is down
 	cut     bool           // it doesn't reach the store
+	lost    float64        // share of its answers that are lost after it has run their requests
 }
 
 // engineProcess is one process of an engine.
@@ -86,6 +88,20 @@
 	e.world.record.printf("engine %s crashes, version %s", e.id, p.version)
 }
 
+// loseAnswers makes the engine lose a share of its answers: it runs the request and closes the connection.
+func (e *engine) loseAnswers(share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lost = share
+	e.world.record.printf("engine %s loses answers: %g", e.id, share)
+}
+
+func (e *engine) losesAnswer() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return rand.Float64() < e.lost
+}
+
 // setCut parts the engine from the store, or ends that.
 func (e *engine) setCut(cut bool) {
 	e.mu.Lock()
@@ -162,6 +178,10 @@
 		return
 	}
 	time.Sleep(plainWork)
+	if e.losesAnswer() {
+		e.world.record.printf("engine %s has run %s, and its answer is lost", e.id, id)
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = fmt.Fprintf(w, "the answer to %s", id)
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,8 @@
 	"versions": playVersions,
 	"restore":  playRestore,
 	"tenants":  playTenants,
+	"encoded":  playEncoded,
+	"slashes":  playSlashes,
 }
 
 func main() {
