--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,6 +10,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 const (
@@ -18,6 +21,9 @@
 	exitCouldntGo = 2
 )
 
+// longestCase bounds the time of a case.
+const longestCase = 110 * time.Second
+
 // scenario is one case. It returns what breaks the rule, or an error if it couldn't run.
 type scenario func(w *world, trouble bool) (violations []string, err error)
 
@@ -52,7 +58,26 @@
 	defer rec.close()
 	w := &world{record: rec, program: program}
 	defer w.close()
-	violations, err := chosen(w, trouble)
+	type result struct {
+		violations []string
+		err        error
+	}
+	done := make(chan result, 1)
+	go func() {
+		violations, err := chosen(w, trouble)
+		done <- result{violations, err}
+	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	var violations []string
+	select {
+	case r := <-done:
+		violations, err = r.violations, r.err
+	case s := <-signals:
+		err = fmt.Errorf("ended by %v", s)
+	case <-time.After(longestCase):
+		err = fmt.Errorf("not done after %v", longestCase)
+	}
 	if err != nil {
 		rec.printf("could not run: %v", err)
 		fmt.Println("could not run:", err)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -12,8 +13,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"errors"
 )
 
 // Prefixes of the routes.
@@ -359,9 +358,11 @@
 	if w.store != nil {
 		_ = w.store.server.Close()
 	}
-	if w.dir != "" && os.Getenv("KEEP") == "" {
+	switch {
+	case w.dir == "":
+	case os.Getenv("KEEP") != "":
+		fmt.Println("kept", w.dir) // settings and logs of the gateways
+	default:
 		_ = os.RemoveAll(w.dir)
-	} else {
-		fmt.Println("kept", w.dir)
 	}
 }
