--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -29,6 +29,7 @@
 	process *engineProcess // nil while it is down
 	cut     bool           // it doesn't reach the store
 	lost    float64        // share of its answers that are lost after it has run their requests
+	failing float64        // share of its requests that it fails
 }
 
 // engineProcess is one process of an engine.
@@ -102,6 +103,20 @@
 	return rand.Float64() < e.lost
 }
 
+// fail makes the engine fail a share of its requests, while its health check is good.
+func (e *engine) fail(share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failing = share
+	e.world.record.printf("engine %s fails requests: %g", e.id, share)
+}
+
+func (e *engine) failsRequest() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return rand.Float64() < e.failing
+}
+
 // setCut parts the engine from the store, or ends that.
 func (e *engine) setCut(cut bool) {
 	e.mu.Lock()
@@ -173,6 +188,10 @@
 	e.world.ran(run{id: id, engine: e.id, version: p.version, tenant: r.Header.Get("Tenant"), target: r.RequestURI, after: after})
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Response-Stamp", "3e1b.07.5a2.600.0."+id)
+	if e.failsRequest() {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, streamPrefix) {
 		p.stream(w, r, id, after)
 		return
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,7 +32,7 @@
 	"restore":  playRestore,
 	"tenants":  playTenants,
 	"encoded":  playEncoded,
-	"slashes":  playSlashes,
+	"takeups":  playTakeups,
 }
 
 func main() {
