--- a/review/standin/takeups.go
+++ b/review/standin/takeups.go
@@ -13,6 +13,7 @@
 	greyFor       = 4 * time.Second
 	greyShare     = 0.45                    // of their requests that the engines fail
 	machinesDieAt = 7300 * time.Millisecond // some gateways are killed
+	machinesDead  = 2 * time.Second         // until they start again
 	takeupsEnd    = 14 * time.Second
 	takeupStreams = 80 // a second
 	deadMachines  = 4  // of nine
@@ -51,6 +52,12 @@
 	for _, g := range w.gateways[:deadMachines] {
 		g.kill()
 	}
+	time.Sleep(time.Until(start.Add(machinesDieAt + machinesDead)))
+	for _, g := range w.gateways[:deadMachines] {
+		if err := g.start(); err != nil {
+			return nil, err
+		}
+	}
 	time.Sleep(time.Until(start.Add(greyAt + greyFor)))
 	for _, e := range engines {
 		e.fail(0)
