--- a/review/standin/takeups.go
+++ b/review/standin/takeups.go
@@ -15,7 +15,7 @@
 	machinesDieAt = 7300 * time.Millisecond // some gateways are killed
 	machinesDead  = 2 * time.Second         // until they start again
 	takeupsEnd    = 14 * time.Second
-	takeupStreams = 80 // a second
+	takeupStreams = 86 // a second
 	deadMachines  = 4  // of nine
 	leastTakeups  = 12 // from which the rule holds
 )
@@ -25,11 +25,11 @@
 	if err := w.setUp(9, config(7, []tenant{{"hule930", []string{keyA}}})); err != nil {
 		return nil, err
 	}
-	engines, err := w.addEngines("vane-llm", 9)
+	engines, err := w.addEngines("vane-llm", 6)
 	if err != nil {
 		return nil, err
 	}
-	for _, e := range engines[5:] {
+	for _, e := range engines[3:] {
 		e.crash()
 		if err := e.start("v2", time.Now().Add(-10*time.Minute)); err != nil {
 			return nil, err
--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -13,7 +13,7 @@
 	versionsCutAt    = 6 * time.Second
 	versionsCutFor   = 5 * time.Second
 	versionsEnd      = 16 * time.Second
-	streamsPerSecond = 50
+	streamsPerSecond = 60
 	streamDeadline   = 12 * time.Second
 	restartTime      = 300 * time.Millisecond  // an engine that crashes is back after this time
 	firstCrash       = 200 * time.Millisecond  // after the cut
@@ -23,13 +23,13 @@
 
 const keyA = "n2ctnfzs989anu6wsjnb"
 
-// playVersions parts three of fifteen engines from the store. Behind the cut they crash, start again with another version of
+// playVersions parts four of twenty engines from the store. Behind the cut they crash, start again with another version of
 // their software under their ids, crash once more, and start again.
 func playVersions(w *world, trouble bool) ([]string, error) {
 	if err := w.setUp(9, config(7, []tenant{{"hule930", []string{keyA}}})); err != nil {
 		return nil, err
 	}
-	engines, err := w.addEngines("vane-llm", 15)
+	engines, err := w.addEngines("vane-llm", 20)
 	if err != nil {
 		return nil, err
 	}
@@ -41,7 +41,7 @@
 	streams := startStreams(w, start.Add(versionsEnd))
 	if trouble {
 		time.Sleep(time.Until(start.Add(versionsCutAt)))
-		if err := rebirth(engines[4:7]); err != nil {
+		if err := rebirth(engines[4:8]); err != nil {
 			return nil, err
 		}
 	}
