--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -67,6 +67,7 @@
 		violations, err := chosen(w, trouble)
 		done <- result{violations, err}
 	}()
+	signal.Ignore(syscall.SIGPIPE) // a reader of the output that leaves early must not keep the gateways from being ended
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	var violations []string
