control: endpoints that fail requests resume streams; the endpoint proves where a stream began

Cause: failedAt, aliveAt and entryNeededSince foretold that an endpoint might have been restarted, and made it ineligible for requests that need a version. Any failure that the fleet counted at an endpoint, also a response of the endpoint itself, renewed this until the store was read 200 ms after its next sign of life; by then it had failed the next request.

Change: the report on the connection of the resumed request is the proof, so these fields are gone, and endpoints with an incarnation are eligible. Where a stream began is proven by the endpoint too: it is asked for its incarnation, and a later read of the store counts only if it cannot be asked and nothing had shown a restart (restartSuspectedAt, one field in place of three).

TestStreamOutlivesAShorterTimeout places the next attempt after the lookup that the gateway makes first; what it checks is unchanged.

--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -28,9 +28,7 @@
 	graceUntil            boottime.Instant // end of the grace period after its entry expired; 0: none
 	removedAt             boottime.Instant // when it was removed; 0: not removed
 	incarnationKnownSince boottime.Instant // when its incarnation was first seen or presumed to start (see assumeColdStart)
-	entryNeededSince      boottime.Instant // its entry is certain once the snapshot is confirmed as of this time, see versionCertain
-	failedAt              boottime.Instant // last failed response of it that this process knows of; 0: none
-	aliveAt               boottime.Instant // first response or connection after that; 0: none
+	restartSuspectedAt    boottime.Instant // last sign that its process may have ended since its entry was written, see suspectRestart; 0: none
 	incarnationNotBefore  boottime.Instant // its incarnation did not start before this time; 0: not known
 	version               origin.Version   // of its software
 	ownReport             reportedIncarnation
@@ -78,7 +76,7 @@
 		e.addrReused = false
 		e.announcedLeaving = false
 		e.health = health{}
-		e.entryNeededSince, e.failedAt, e.aliveAt = 0, 0, 0
+		e.restartSuspectedAt = 0
 		e.ownReport = reportedIncarnation{}
 		e.outlier = outlierState{}
 		e.incarnationKnownSince = now
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -56,6 +56,7 @@
 		s.log(event.EndpointDown, "endpoint", e.ID, "addr", e.Addr, "silent", timedOut, "own_finding", own, "in_flight", e.inFlight)
 	}
 	h.down, h.timedOut = true, timedOut
+	e.suspectRestart(now)
 	if own {
 		h.ownDownAt = now
 		s.peerLoads.statusVersion++
@@ -82,7 +83,7 @@
 	}
 	s.log(event.EndpointUp, "endpoint", e.ID, "addr", e.Addr, "down_ms", now.Sub(h.downSince).Milliseconds())
 	h.down, h.timedOut, h.consecutiveFailures, h.ownDownAt = false, false, 0, 0
-	s.noteReconnected(now, e)
+	e.suspectRestart(now)
 	s.peerLoads.statusVersion++
 	s.assumeColdStart(now, e)
 }
@@ -101,7 +102,7 @@
 	h := &e.health
 	if ok {
 		h.failureRate *= 1 - failureResultWeight
-		e.noteAlive(now)
+		h.lastSuccess = now
 		return
 	}
 	e.outlier.recordFailure(now)
@@ -161,7 +162,7 @@
 		if e.Incarnation == 0 {
 			e.processIsAlive(now)
 		}
-		e.noteAlive(now)
+		e.health.lastSuccess = now
 		s.markUp(now, e)
 		return
 	}
--- a/internal/control/incarnation.go
+++ b/internal/control/incarnation.go
@@ -14,8 +14,8 @@
 // read; for later times the endpoint itself is asked.
 //
 // A resumed request is sent only on a connection on which its endpoint has reported the incarnation of its entry. The
-// record of a stream that began after the store was last read counts once the endpoint has reported the record's
-// incarnation, or a later read of the store has confirmed it.
+// record of a stream counts once the endpoint has reported the record's incarnation after the stream began there. If it cannot be
+// asked, a later read of the store counts, unless something had shown before that the endpoint may have been restarted.
 
 const (
 	// recordProofTimeout is how long a lookup waits for the proof of a record. In this time the store is read at
@@ -23,6 +23,8 @@
 	recordProofTimeout = 700 * time.Millisecond
 	// askInterval is the minimum time between two questions to one endpoint for its incarnation.
 	askInterval = 50 * time.Millisecond
+	// reportTimeout is how long the proof of a record waits for the report of an endpoint that accepts connections.
+	reportTimeout = 200 * time.Millisecond
 	// successorRetention is how long an endpoint gets no resumed requests after it has reported another incarnation
 	// than its entry has, if the entry stays the same.
 	successorRetention = 5 * time.Second
@@ -40,10 +42,16 @@
 // reportedIncarnation is what an endpoint itself has said of its incarnation.
 type reportedIncarnation struct {
 	askedAt   boottime.Instant // last question to it; 0: none
+	waitsFrom boottime.Instant // first question since its last report; 0: none
 	confirmed boottime.Instant // it had the incarnation of its entry at this time; 0: not known
 	successor boottime.Instant // it had another incarnation at this time, since its entry was read; 0: not known
 }
 
+// unanswered reports whether an endpoint has not reported its incarnation although it was asked.
+func (r *reportedIncarnation) unanswered(now boottime.Instant) bool {
+	return r.waitsFrom != 0 && now.Sub(r.waitsFrom) >= reportTimeout
+}
+
 // replaced reports whether an endpoint has said that it has another incarnation than its entry.
 func (e *endpoint) replaced(now boottime.Instant) bool {
 	return e.ownReport.successor != 0 && now.Sub(e.ownReport.successor) <= successorRetention
@@ -55,6 +63,9 @@
 		return
 	}
 	e.ownReport.askedAt = now
+	if e.ownReport.waitsFrom == 0 {
+		e.ownReport.waitsFrom = now
+	}
 	s.emit(AskIncarnation{ID: e.ID, Addr: e.Addr})
 }
 
@@ -64,6 +75,7 @@
 	if e == nil {
 		return
 	}
+	e.ownReport.waitsFrom = 0
 	if inc == e.Incarnation {
 		e.ownReport.confirmed = max(e.ownReport.confirmed, askedAt)
 		e.processIsAlive(askedAt)
@@ -86,7 +98,7 @@
 
 // lookUpRecord returns a lookup that ends with the version of a record, or with 0 if the record is not proven in time.
 func (s *State) lookUpRecord(now boottime.Instant, l *origin.Lookup, r origin.Record) *origin.Lookup {
-	v, proven := s.recordedVersion(r)
+	v, proven := s.recordedVersion(now, r)
 	if proven {
 		l.End(v)
 		return l
@@ -100,7 +112,7 @@
 func (s *State) proveRecords(now boottime.Instant) {
 	var waiting []unprovenRecord
 	for _, u := range s.origins.unproven {
-		v, proven := s.recordedVersion(u.record)
+		v, proven := s.recordedVersion(now, u.record)
 		if !proven && now.Before(u.until) {
 			waiting = append(waiting, u)
 			continue
--- a/internal/control/lifetime_test.go
+++ b/internal/control/lifetime_test.go
@@ -33,6 +33,8 @@
 	st.StreamStarted(w.Now(), "stream", p.Attempt, deadline.Sub(w.Now()))
 	w.Run(timeout / 2)
 	st.AttemptEnded(w.Now(), p.Attempt, control.ResponseBroken)
+	st.LookUpOwnStream(w.Now(), "stream")
+	w.Run(time.Second) // the endpoint is asked for its incarnation
 	next := st.Place(w.Now(), control.PlacementRequest{Service: ad.Service, Stream: "stream"})
 	if next.Reason != control.ReasonNone || next.Attempt.Version != p.Attempt.Version {
 		t.Errorf("the stream cannot go on after %v of %v: %v", timeout/2, timeout, next.Reason)
--- a/internal/control/origins.go
+++ b/internal/control/origins.go
@@ -51,12 +51,15 @@
 		Endpoint:    a.endpoint.shortID(),
 		Incarnation: a.Incarnation,
 		SentAt:      a.sentAt,
-		Certain:     a.versionCertain,
+		Certain:     a.entryCertain,
 		Expires:     now.Add(min(resumableFor, s.origins.streamLifetime)),
 		Service:     a.endpoint.Service,
 		Own:         true,
 	})
-	if s.soleVersion(now, a.endpoint.Service) == 0 {
+	if !a.entryCertain {
+		s.ask(now, a.endpoint)
+	}
+	if !a.entryCertain || s.soleVersion(now, a.endpoint.Service) == 0 {
 		s.replicate(now, []origin.StreamID{id})
 	}
 }
@@ -166,7 +169,7 @@
 	}
 	reply := wire.OriginReply{Query: q.Query}
 	if r, ok := s.origins.table.Get(now, origin.StreamID(q.Stream)); ok {
-		v, proven := s.recordedVersion(r)
+		v, proven := s.recordedVersion(now, r)
 		reply.Version = uint32(v)
 		if !proven {
 			reply.Unproven = []wire.StreamOrigin{encodeOrigin(now, origin.StreamID(q.Stream), r)}
--- a/internal/control/outlier.go
+++ b/internal/control/outlier.go
@@ -33,7 +33,6 @@
 // outlierState is the state of one endpoint as an outlier.
 type outlierState struct {
 	failures      []boottime.Instant // own failures within failureWindow, oldest first
-	fleetFailures uint16             // of the fleet within failureWindow, as of the last check
 	detections    int                // consecutive
 	detectedAt    boottime.Instant   // last detection; 0: none
 }
@@ -82,12 +81,6 @@
 func (s *State) checkService(now boottime.Instant, endpoints []*endpoint, failed wire.Counts) {
 	total, usable := 0, 0
 	for _, e := range endpoints {
-		if n := failed[e.shortID()]; n != e.outlier.fleetFailures {
-			if n > e.outlier.fleetFailures {
-				e.noteFailed(now)
-			}
-			e.outlier.fleetFailures = n
-		}
 		if s.usable(now, e) {
 			total += int(failed[e.shortID()])
 			usable++
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -43,7 +43,7 @@
 	EndpointUnreachable <-chan struct{}       // closed when a connection attempt to the endpoint times out
 
 	version             origin.Version
-	versionCertain      bool
+	entryCertain        bool
 	sentAt              boottime.Instant
 	lastEvent           atomic.Int64  // boottime.Instant of the last event of its stream; 0: none
 	events              atomic.Uint32 // of its stream
@@ -123,11 +123,6 @@
 		return denied
 	}
 	c := s.classify(now, req)
-	for _, e := range c.uncertain {
-		if e.aliveAt == 0 && !e.health.probing && !e.health.down {
-			s.probe(e)
-		}
-	}
 	if len(c.eligible) == 0 {
 		p := c.rejection()
 		if req.Version != 0 && !s.offersVersion(now, req.Service, req.Version) {
@@ -147,7 +142,7 @@
 	e.coldStart.recordSend(now)
 	s.peerLoads.statusVersion++
 	attempt := &Attempt{Endpoint: e.ID, Addr: e.Addr, Version: e.Version, Load: s.load(now, e), MeanLoad: c.meanLoad(), EligibleCount: len(c.eligible),
-		Request: req.Request, Shares: req.Shares, version: e.version, versionCertain: s.versionCertain(e), Incarnation: e.Incarnation, ConfirmIncarnation: req.Version != 0 && e.Incarnation != 0, sentAt: now, endpoint: e, endpointUnreachable: make(chan struct{})}
+		Request: req.Request, Shares: req.Shares, version: e.version, entryCertain: s.entryCertain(e), Incarnation: e.Incarnation, ConfirmIncarnation: req.Version != 0 && e.Incarnation != 0, sentAt: now, endpoint: e, endpointUnreachable: make(chan struct{})}
 	attempt.EndpointUnreachable = attempt.endpointUnreachable
 	s.noteSuspicion(now, attempt)
 	s.crashes.detector.TraitsSent(now, req.Shares)
@@ -163,7 +158,6 @@
 	listedCount  int                // listed endpoints of the service, in any state
 	listedLoad   int                // sum of the loads of the listed endpoints
 	down         []*endpoint        // usable and not tried, but down
-	uncertain    []*endpoint        // may have another version than the one the request needs
 	triedCount   int                // usable endpoints that already had an attempt
 	pause        time.Duration      // until the first of those that want no requests for a time wants some; 0: there is none
 }
@@ -216,8 +210,9 @@
 }
 
 // classify classifies the endpoints of a service for one request. Endpoints that are avoided for recent
-// failures or refusals are eligible only if there are no others. The same holds, for a request that needs a version, for
-// those that may have been restarted, if the service has one version; otherwise they are not eligible.
+// failures or refusals are eligible only if there are no others. A request that needs a version is sent only after the endpoint
+// has reported its incarnation. Endpoints that cannot, and may have been restarted, are eligible like those that are avoided if the
+// service has one version, and not eligible otherwise.
 func (s *State) classify(now boottime.Instant, req PlacementRequest) endpointClasses {
 	var c endpointClasses
 	var avoided []eligibleEndpoint
@@ -241,11 +236,9 @@
 			c.down = append(c.down, e)
 		case !s.admitsColdSend(now, e):
 		case req.maxSilence != 0 && e.silentFor(now, req.maxSilence):
-		case req.Version != 0 && (!s.versionCertain(e) || s.mayHaveRestarted(e)):
+		case req.Version != 0 && e.Incarnation == 0 && !s.entryCertain(e):
 			if oneVersion {
 				avoided = append(avoided, eligibleEndpoint{e, load})
-			} else {
-				c.uncertain = append(c.uncertain, e)
 			}
 		case now.Before(e.health.avoidUntil):
 			avoided = append(avoided, eligibleEndpoint{e, load})
--- a/internal/control/result.go
+++ b/internal/control/result.go
@@ -75,7 +75,7 @@
 		s.markUp(now, e)
 	case EndpointFailed, ResponseBroken, ResponseOverdue:
 		if r == ResponseBroken {
-			e.noteFailed(now)
+			e.suspectRestart(now)
 		}
 		s.recordResult(now, e, false)
 	case ConnectionRefused, ConnectTimedOut:
@@ -90,7 +90,7 @@
 // ResponseStarted records that the endpoint has begun to respond.
 func (s *State) ResponseStarted(now boottime.Instant, a *Attempt) {
 	a.endpoint.lastProgress = now
-	a.endpoint.noteAlive(now)
+	a.endpoint.health.lastSuccess = now
 }
 
 // ReportCold records the remaining cold-start time that an endpoint reported.
--- a/internal/control/version.go
+++ b/internal/control/version.go
@@ -18,12 +18,12 @@
 	// soleVersionStaleness is the snapshot age up to which a service may count as having one version: an
 	// endpoint of another one may have been listed since.
 	soleVersionStaleness = time.Second
-	// reconnectRegistrationDelay is how long after the first connection to an endpoint that was down its entry may
-	// still be that of the process before.
-	reconnectRegistrationDelay = time.Second
-	// failureRegistrationDelay is the same after the first response or connection since a failed response, which may
-	// have been the end of the process.
-	failureRegistrationDelay = 200 * time.Millisecond
+	// entryDelay is how long after the start of an endpoint's new incarnation its entry may still be the former one, if nothing
+	// shows that it has started.
+	entryDelay = 200 * time.Millisecond
+	// restartEntryDelay is the same after a sign that the endpoint may have been restarted, for an endpoint that reports no
+	// incarnation.
+	restartEntryDelay = time.Second
 	// registrationDelay is how long after its start an endpoint's new incarnation may publish its entry.
 	registrationDelay = 2 * time.Second
 	// clockTolerance is how far the wall clocks of gateways and endpoints may differ.
@@ -114,50 +114,35 @@
 	return sole
 }
 
-// versionCertain reports whether an endpoint has the version of its entry. After it was down, it may be another
-// process with another version, whose entry this process does not have yet.
-func (s *State) versionCertain(e *endpoint) bool {
-	return s.freshness.confirmedAt >= e.entryNeededSince
-}
-
-// noteReconnected records that an endpoint that was down has accepted a connection.
-func (s *State) noteReconnected(now boottime.Instant, e *endpoint) {
-	e.entryNeededSince = max(e.entryNeededSince, now.Add(reconnectRegistrationDelay))
-}
+// suspectRestart records a sign that the process of an endpoint may have ended since its entry was written: a connection was
+// refused, timed out or broke off, or it accepts connections again.
+func (e *endpoint) suspectRestart(now boottime.Instant) { e.restartSuspectedAt = now }
 
-// noteFailed records a failed response of an endpoint, to this process or a peer.
-func (e *endpoint) noteFailed(now boottime.Instant) {
-	e.failedAt, e.aliveAt = now, 0
-}
-
-// noteAlive records that an endpoint has responded or accepted a connection.
-func (e *endpoint) noteAlive(now boottime.Instant) {
-	e.health.lastSuccess = now
-	if e.failedAt != 0 && e.aliveAt == 0 {
-		e.aliveAt = now
+// entryCertain reports whether the process of an endpoint is the one of its entry, as far as known: nothing shows that it may
+// have been restarted, or it has reported the incarnation of its entry since.
+func (s *State) entryCertain(e *endpoint) bool {
+	if e.restartSuspectedAt == 0 || e.ownReport.confirmed >= e.restartSuspectedAt {
+		return true
 	}
-}
-
-// mayHaveRestarted reports whether an endpoint has failed and may since be another process whose entry this process
-// does not have yet.
-func (s *State) mayHaveRestarted(e *endpoint) bool {
-	return e.failedAt != 0 && (e.aliveAt == 0 || s.freshness.confirmedAt < e.aliveAt.Add(failureRegistrationDelay))
+	return e.Incarnation == 0 && s.freshness.confirmedAt >= e.restartSuspectedAt.Add(restartEntryDelay)
 }
 
 // recordedVersion returns the version of a record, or 0 if the endpoint may have been restarted with another
 // version before the request was sent: its entry was then the former one. The result is final if it is proven.
-func (s *State) recordedVersion(r origin.Record) (v origin.Version, proven bool) {
+func (s *State) recordedVersion(now boottime.Instant, r origin.Record) (v origin.Version, proven bool) {
 	e := s.endpointByShortID(r.Endpoint)
 	switch {
 	case e == nil:
 		return certainVersion(r), true
 	case e.Incarnation == r.Incarnation && e.version == r.Version:
-		if s.incarnationProven(e, r) {
+		if s.incarnationProven(now, e, r) {
 			return r.Version, true
 		}
 		return 0, false
-	case e.version == r.Version || r.SentAt.Before(e.incarnationNotBefore):
+	case e.version == r.Version:
 		return r.Version, true
+	case r.SentAt.Before(e.incarnationNotBefore):
+		return certainVersion(r), true
 	default:
 		return 0, true
 	}
@@ -171,17 +156,23 @@
 }
 
 // incarnationProven reports whether an endpoint whose entry has the incarnation of a record had it when the request of
-// the record was sent: the endpoint has said so later, or the store was read so much later that the entry of another
-// incarnation would have been there.
-func (s *State) incarnationProven(e *endpoint, r origin.Record) bool {
+// the record was sent. The endpoint itself proves it, with a later report. Only if it cannot be asked, the store does: it was read so
+// much later that the entry of another incarnation would have been there.
+func (s *State) incarnationProven(now boottime.Instant, e *endpoint, r origin.Record) bool {
+	if e.Incarnation == 0 {
+		delay := restartEntryDelay
+		if r.Certain {
+			delay = entryDelay
+		}
+		return s.freshness.confirmedAt >= r.SentAt.Add(delay)
+	}
 	if e.ownReport.confirmed >= r.SentAt {
 		return true
 	}
-	delay := reconnectRegistrationDelay
-	if r.Certain {
-		delay = failureRegistrationDelay
+	if !r.Certain || e.ownReport.successor != 0 || !e.health.down && !e.ownReport.unanswered(now) {
+		return false
 	}
-	return s.freshness.confirmedAt >= r.SentAt.Add(delay)
+	return s.freshness.confirmedAt >= r.SentAt.Add(entryDelay)
 }
 
 // StreamVersion returns the version at which a stream began that this process has forwarded events of, or 0 if it
@@ -194,7 +185,10 @@
 	case s.soleVersion(now, r.Service) == r.Version:
 		return r.Version
 	default:
-		v, _ := s.recordedVersion(r)
+		v, proven := s.recordedVersion(now, r)
+		if !proven {
+			s.ask(now, s.endpointByShortID(r.Endpoint))
+		}
 		return v
 	}
 }
