control: after a kill of all gateways no stream goes on at a version that did not begin it

Cause: a young process asked of the endpoints listed at its start only whether they had started long ago, and concluded from this that their version was the only one. A version that had served beside them and left was nowhere in this evidence; of a service whose endpoints were all listed later it asked nothing. What a peer replied as its only version was no better.

Change: a process knows the versions since its first copy of the store, and infers nothing for the time before unless it has evidence: a peer that knew the versions until after that copy, or the writes that the store has kept from before. Heartbeats are among these, so endpoints that have left show their versions, and the heartbeats of one endpoint how far back the writes reach. They are read once, by a process that needs them for a resumed stream and has no such peer. A departure whose version they do not show bounds the reach.

The simulation's stream load no longer loops without end while no gateway runs. TestLookups checks the new reply (recorded or not; a version is inferred by the control state, no longer by the lookup). TestStreamOfOneVersionGoesOnAtEndpointsThatFailed waits for its lookup, as callers do: the endpoint is asked first.

--- a/internal/control/endpoint.go
+++ b/internal/control/endpoint.go
@@ -32,7 +32,6 @@
 	incarnationNotBefore  boottime.Instant // its incarnation did not start before this time; 0: not known
 	version               origin.Version   // of its software
 	ownReport             reportedIncarnation
-	listedAtStart         bool              // it was listed when this process got its first snapshot
 	addrReused            bool              // another endpoint has responded at its address
 	unconfirmedUntil      boottime.Instant  // it had been removed and is in an older copy of the store's content; 0: no
 	announcedLeaving      bool              // its incarnation has said in a response that it leaves
@@ -87,7 +86,6 @@
 	}
 	e.Endpoint = rec
 	e.serviceHash = uint32(fleet.Hash(string(rec.Service)))
-	e.listedAtStart = e.listedAtStart || s.firstSnapshot
 	e.listed, e.graceUntil, e.removedAt = true, 0, 0
 	e.coldStart.until = max(e.coldStart.until, now.Add(rec.ColdRemaining))
 }
--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -60,6 +60,7 @@
 	s.noteStoreResponse(now, at)
 	if at > s.freshness.confirmedAt {
 		s.freshness.confirmedBefore, s.freshness.confirmedAt = s.freshness.confirmedAt, at
+		s.proveRecords(now)
 	}
 }
 
@@ -119,7 +120,11 @@
 // applyWith is apply with the method of the mirror that applies the update.
 func (s *State) applyWith(now boottime.Instant, u published.Update, apply func(published.Update) []published.ItemChange) {
 	before := s.mirror.Revision()
-	s.firstSnapshot = before == 0
+	if before == 0 {
+		s.beginVersions(now, u.Revision)
+	} else if u.Coalesced {
+		s.noteGap(now, s.lastConfirmedBefore(u), u.Revision)
+	}
 	if before != 0 && published.EraOf(u.Revision) > published.EraOf(s.mirror.CoveredRevision()) {
 		s.beginEra(now, u.Revision)
 	}
@@ -130,6 +135,14 @@
 	s.adoptChanges(now, changes)
 }
 
+// lastConfirmedBefore returns when the content before an update was last confirmed. A read has been noted before it is applied.
+func (s *State) lastConfirmedBefore(u published.Update) boottime.Instant {
+	if u.Confirmed != 0 && u.Confirmed == s.freshness.confirmedAt {
+		return s.freshness.confirmedBefore
+	}
+	return s.freshness.confirmedAt
+}
+
 func (s *State) adoptChanges(now boottime.Instant, changes []published.ItemChange) {
 	for _, c := range changes {
 		if c.Err != nil {
--- a/internal/control/incarnation.go
+++ b/internal/control/incarnation.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -98,26 +99,29 @@
 
 // lookUpRecord returns a lookup that ends with the version of a record, or with 0 if the record is not proven in time.
 func (s *State) lookUpRecord(now boottime.Instant, l *origin.Lookup, r origin.Record) *origin.Lookup {
-	v, proven := s.recordedVersion(now, r)
-	if proven {
-		l.End(v)
-		return l
+	u := unprovenRecord{lookup: l, record: r, until: now.Add(recordProofTimeout)}
+	if !s.endIfProven(now, u) {
+		s.origins.unproven = append(s.origins.unproven, u)
+		s.ask(now, s.endpointByShortID(r.Endpoint))
 	}
-	s.origins.unproven = append(s.origins.unproven, unprovenRecord{lookup: l, record: r, until: now.Add(recordProofTimeout)})
-	s.ask(now, s.endpointByShortID(r.Endpoint))
 	return l
 }
 
 // proveRecords ends the lookups whose record is proven or whose time is over.
 func (s *State) proveRecords(now boottime.Instant) {
-	var waiting []unprovenRecord
-	for _, u := range s.origins.unproven {
-		v, proven := s.recordedVersion(now, u.record)
-		if !proven && now.Before(u.until) {
-			waiting = append(waiting, u)
-			continue
-		}
-		u.lookup.End(v)
+	s.origins.unproven = slices.DeleteFunc(s.origins.unproven, func(u unprovenRecord) bool { return s.endIfProven(now, u) })
+}
+
+// endIfProven ends the lookup of a record if the record is proven or its time is over, and reports whether it did. If the version stays
+// unknown, other gateways must not infer it: they get the record.
+func (s *State) endIfProven(now boottime.Instant, u unprovenRecord) bool {
+	v, proven := s.recordedVersion(now, u.record)
+	if !proven && now.Before(u.until) {
+		return false
+	}
+	if v == 0 && u.record.Own && !u.record.Replicated {
+		s.replicate(now, []origin.StreamID{u.lookup.Stream})
 	}
-	s.origins.unproven = waiting
+	u.lookup.End(v)
+	return true
 }
--- a/internal/control/origins.go
+++ b/internal/control/origins.go
@@ -26,7 +26,10 @@
 	table          *origin.Table
 	lookups        origin.Lookups
 	unproven       []unprovenRecord
+	inquiries      []inquiry
 	histories      map[fleet.ServiceID]*origin.History
+	knownSince     boottime.Instant // from when on this process itself knows the versions of all services; 0: it has no copy of the store
+	versions       versionHistory
 	streamLifetime time.Duration // of the streams that may still last
 
 	shorterLifetime time.Duration    // of streams admitted now, if it is shorter; 0: it is not
@@ -59,7 +62,7 @@
 	if !a.entryCertain {
 		s.ask(now, a.endpoint)
 	}
-	if !a.entryCertain || s.soleVersion(now, a.endpoint.Service) == 0 {
+	if !a.entryCertain || s.mayHaveSeveralVersions(now, a.endpoint.Service) {
 		s.replicate(now, []origin.StreamID{id})
 	}
 }
@@ -132,14 +135,10 @@
 // route if the caller names none. The result is known once the lookup is done.
 func (s *State) LookUpOrigin(now boottime.Instant, stream fleet.RequestID, route *routing.Route) *origin.Lookup {
 	id := origin.ID(stream)
-	services := route.Services()
-	if v := s.soleVersionOf(now, services); v != 0 {
-		return origin.Resolved(id, v)
-	}
 	if r, ok := s.origins.table.Get(now, id); ok {
 		return s.lookUpRecord(now, origin.NewLookup(id), r)
 	}
-	return s.askPeers(now, id, services)
+	return s.inquire(now, id, route.Services())
 }
 
 func (s *State) askPeers(now boottime.Instant, id origin.StreamID, services []fleet.ServiceID) *origin.Lookup {
@@ -170,12 +169,12 @@
 	reply := wire.OriginReply{Query: q.Query}
 	if r, ok := s.origins.table.Get(now, origin.StreamID(q.Stream)); ok {
 		v, proven := s.recordedVersion(now, r)
-		reply.Version = uint32(v)
+		reply.Recorded, reply.Version = true, uint32(v)
 		if !proven {
 			reply.Unproven = []wire.StreamOrigin{encodeOrigin(now, origin.StreamID(q.Stream), r)}
 		}
 	} else {
-		reply.SoleVersion = uint32(s.soleVersionOf(now, s.servicesByHash(q.Services)))
+		s.addSoleVersion(now, &reply, s.servicesByHash(q.Services))
 	}
 	s.sendTo(m, reply)
 }
@@ -196,11 +195,16 @@
 func (s *State) receiveOriginReply(now boottime.Instant, from fleet.InstanceID, m wire.OriginReply) {
 	if len(m.Unproven) > 0 {
 		if l := s.origins.lookups.Take(m.Query, from); l != nil {
+			s.dropInquiry(l)
 			s.lookUpRecord(now, l, decodeOrigin(now, m.Unproven[0]))
 		}
 		return
 	}
-	s.origins.lookups.Receive(m.Query, from, origin.Reply{Version: origin.Version(m.Version), Sole: origin.Version(m.SoleVersion)})
+	if l := s.origins.lookups.Asked(m.Query, from); l != nil {
+		s.learnVersions(now, l, m)
+	}
+	s.origins.lookups.Receive(m.Query, from, origin.Reply{Recorded: m.Recorded, Version: origin.Version(m.Version)})
+	s.settleInquiries(now)
 }
 
 // tickOrigins repeats and ends lookups, deletes expired records, and replicates the own records of services that
@@ -213,6 +217,7 @@
 		}
 	})
 	s.proveRecords(now)
+	s.settleInquiries(now)
 	if now.Sub(o.checkedAt) < originCheckInterval {
 		return
 	}
@@ -223,11 +228,11 @@
 }
 
 func (s *State) replicateWhereVersionsDiffer(now boottime.Instant) {
-	sole := map[fleet.ServiceID]bool{}
+	several := map[fleet.ServiceID]bool{}
 	for service := range s.services {
-		sole[service] = s.soleVersion(now, service) != 0
+		several[service] = s.mayHaveSeveralVersions(now, service)
 	}
-	due := s.origins.table.Unreplicated(func(service fleet.ServiceID) bool { return !sole[service] })
+	due := s.origins.table.Unreplicated(func(service fleet.ServiceID) bool { return several[service] })
 	if len(due) == 0 {
 		return
 	}
--- a/internal/control/origins_test.go
+++ b/internal/control/origins_test.go
@@ -38,11 +38,14 @@
 }
 
 func (l *streamLoad) begin() {
+	n := l.randomNode()
+	if n == nil {
+		return
+	}
 	l.nextID++
 	st := l.w.NewStream(fleet.RequestID(fmt.Sprintf("stream-%d", l.nextID)))
 	r := chatRequest
 	r.Affinity = fleet.Hash(fmt.Sprint(l.w.Rand().IntN(50)))
-	n := l.randomNode()
 	n.OpenStream(r, st, func(ok bool, _ control.Reason) {
 		if !ok {
 			return
@@ -53,7 +56,12 @@
 }
 
 func (l *streamLoad) resume(r controltest.Request, st *controltest.Stream) {
-	l.randomNode().OpenStream(r, st, func(ok bool, reason control.Reason) {
+	n := l.randomNode()
+	if n == nil {
+		l.w.After(callerRetryInterval, func() { l.resume(r, st) })
+		return
+	}
+	n.OpenStream(r, st, func(ok bool, reason control.Reason) {
 		l.resumed++
 		if ok {
 			l.wentOn++
@@ -66,13 +74,17 @@
 	})
 }
 
-// randomNode returns a running gateway.
+// callerRetryInterval is the time after which a caller tries again while no gateway runs.
+const callerRetryInterval = 100 * time.Millisecond
+
+// randomNode returns a running gateway, or nil if none runs.
 func (l *streamLoad) randomNode() *controltest.Node {
-	for {
-		if n := l.w.Nodes[l.w.Rand().IntN(len(l.w.Nodes))]; n.State != nil && !n.Paused {
+	for _, i := range l.w.Rand().Perm(len(l.w.Nodes)) {
+		if n := l.w.Nodes[i]; n.State != nil && !n.Paused {
 			return n
 		}
 	}
+	return nil
 }
 
 func (l *streamLoad) check(t *testing.T) {
@@ -337,9 +349,10 @@
 	for range 200 {
 		n.State.AttemptEnded(w.Now(), place(0), control.ResponseBroken)
 	}
-	v := n.State.LookUpOwnStream(w.Now(), "stream").Version
-	if v == 0 {
+	l := n.State.LookUpOwnStream(w.Now(), "stream")
+	w.Run(100 * time.Millisecond) // the endpoint is asked for its incarnation
+	if !l.Ended() || l.Version == 0 {
 		t.Fatal("the stream's version is not known")
 	}
-	place(v)
+	place(l.Version)
 }
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -173,6 +173,7 @@
 		s.noteFullSnapshot(now)
 	}
 	s.send(s.mesh.Broadcast(now, s.localStatus(now), s.mirror.Revision() != before))
+	s.settleInquiries(now)
 }
 
 // ReadFailed handles the failure of a ReadStore action. If the store's history no longer covers the
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -22,8 +22,9 @@
 	Incarnation fleet.Incarnation // of this process, as in the header of its messages
 	SeedCount   int               // number of control addresses of other gateways in the settings
 	Protocol    published.Protocol
-	StartedAt   time.Time // of the process, on its wall clock; zero: not known
-	FirstStart  bool      // the whole fleet starts for the first time, so that no stream began before
+	FirstStart  bool // the whole fleet starts for the first time, so that no stream began before
+
+	HeartbeatInterval time.Duration // between two writes of an endpoint's entry; 0: not known
 
 	StrictRevoke         bool          // reject API keys if the snapshot is older than AuthStalenessBound
 	AuthStalenessBound   time.Duration // snapshot age up to which API keys are accepted with StrictRevoke
@@ -48,7 +49,6 @@
 	// last relevant change in it is unknown; 0 once a peer has confirmed the revision or has sent
 	// changes.
 	fullSnapshotAt boottime.Instant
-	firstSnapshot  bool // the update being applied is the first one
 	reader         storeReader
 	pulls          pullState
 	mesh           *mesh.State
@@ -97,12 +97,12 @@
 	}
 }
 
-// Configure replaces the options that may change at run time: all but Self, RandomSeed, Incarnation, Protocol, StartedAt and FirstStart.
+// Configure replaces the options that may change at run time: all but Self, RandomSeed, Incarnation, Protocol and FirstStart.
 // The retry windows of services that have already received requests keep their length.
 func (s *State) Configure(o Options) {
 	o.Self, o.RandomSeed, o.Protocol = s.opts.Self, s.opts.RandomSeed, s.opts.Protocol
 	o.Incarnation = s.opts.Incarnation
-	o.StartedAt, o.FirstStart = s.opts.StartedAt, s.opts.FirstStart
+	o.FirstStart = s.opts.FirstStart
 	s.opts = o
 }
 
--- a/internal/control/version.go
+++ b/internal/control/version.go
@@ -15,9 +15,6 @@
 	streamLifetimeFactor = 2
 	minStreamLifetime    = 15 * time.Second
 	maxStreamLifetime    = 2 * time.Minute
-	// soleVersionStaleness is the snapshot age up to which a service may count as having one version: an
-	// endpoint of another one may have been listed since.
-	soleVersionStaleness = time.Second
 	// entryDelay is how long after the start of an endpoint's new incarnation its entry may still be the former one, if nothing
 	// shows that it has started.
 	entryDelay = 200 * time.Millisecond
@@ -26,8 +23,6 @@
 	restartEntryDelay = time.Second
 	// registrationDelay is how long after its start an endpoint's new incarnation may publish its entry.
 	registrationDelay = 2 * time.Second
-	// clockTolerance is how far the wall clocks of gateways and endpoints may differ.
-	clockTolerance = 5 * time.Second
 )
 
 // adoptStreamLifetime derives how long streams may last from the routes. A shorter lifetime applies once the streams
@@ -56,64 +51,6 @@
 	}
 }
 
-// noteVersionReplaced records that an endpoint no longer has its version.
-func (s *State) noteVersionReplaced(now boottime.Instant, e *endpoint) {
-	h := s.origins.histories[e.Service]
-	if h == nil {
-		h = &origin.History{}
-		s.origins.histories[e.Service] = h
-	}
-	h.Replaced(now, e.version)
-}
-
-// soleVersion returns the only version that endpoints of a service have had for as long as a stream may last,
-// or 0 if there were several, or if this process cannot know.
-func (s *State) soleVersion(now boottime.Instant, service fleet.ServiceID) origin.Version {
-	if s.SnapshotAge(now) > soleVersionStaleness {
-		return 0
-	}
-	young := !s.opts.FirstStart && now.Sub(s.join.processStart) < s.origins.streamLifetime
-	var present []origin.Version
-	for _, e := range s.services[service] {
-		if !e.listed && e.graceUntil == 0 {
-			continue
-		}
-		if young && e.listedAtStart && !s.startedLongAgo(e) {
-			return 0
-		}
-		present = append(present, e.version)
-	}
-	h := s.origins.histories[service]
-	if h == nil {
-		h = &origin.History{}
-	}
-	return h.Sole(now, s.origins.streamLifetime, present)
-}
-
-// startedLongAgo reports whether an endpoint already ran when the oldest stream that a caller may still resume
-// could have begun before the start of this process. If all endpoints did, none of them replaced another version
-// meanwhile.
-func (s *State) startedLongAgo(e *endpoint) bool {
-	if e.Incarnation == 0 || s.opts.StartedAt.IsZero() {
-		return false
-	}
-	age := s.opts.StartedAt.Sub(time.UnixMilli(int64(e.Incarnation)))
-	return age >= s.origins.streamLifetime+clockTolerance
-}
-
-// soleVersionOf returns the only version of all services of a route, or 0.
-func (s *State) soleVersionOf(now boottime.Instant, services []fleet.ServiceID) origin.Version {
-	sole := origin.Version(0)
-	for i, id := range services {
-		v := s.soleVersion(now, id)
-		if v == 0 || i > 0 && v != sole {
-			return 0
-		}
-		sole = v
-	}
-	return sole
-}
-
 // suspectRestart records a sign that the process of an endpoint may have ended since its entry was written: a connection was
 // refused, timed out or broke off, or it accepts connections again.
 func (e *endpoint) suspectRestart(now boottime.Instant) { e.restartSuspectedAt = now }
@@ -179,18 +116,14 @@
 // is not certain. The endpoint is then asked for its incarnation.
 func (s *State) StreamVersion(now boottime.Instant, stream fleet.RequestID) origin.Version {
 	r, ok := s.origins.table.Get(now, origin.ID(stream))
-	switch {
-	case !ok:
+	if !ok {
 		return 0
-	case s.soleVersion(now, r.Service) == r.Version:
-		return r.Version
-	default:
-		v, proven := s.recordedVersion(now, r)
-		if !proven {
-			s.ask(now, s.endpointByShortID(r.Endpoint))
-		}
-		return v
 	}
+	v, proven := s.recordedVersion(now, r)
+	if !proven {
+		s.ask(now, s.endpointByShortID(r.Endpoint))
+	}
+	return v
 }
 
 // LookUpOwnStream starts to find out what StreamVersion returns once the record of the stream is proven. The result is
@@ -198,8 +131,8 @@
 func (s *State) LookUpOwnStream(now boottime.Instant, stream fleet.RequestID) *origin.Lookup {
 	id := origin.ID(stream)
 	r, ok := s.origins.table.Get(now, id)
-	if !ok || s.soleVersion(now, r.Service) == r.Version {
-		return origin.Resolved(id, s.StreamVersion(now, stream))
+	if !ok {
+		return origin.Resolved(id, 0)
 	}
 	return s.lookUpRecord(now, origin.NewLookup(id), r)
 }
--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -51,6 +51,7 @@
 		RetryRatio:           0.2,
 		RetryExtra:           58,
 		RetryWindow:          10 * time.Second,
+		HeartbeatInterval:    HeartbeatInterval,
 	}
 	if w.Options != nil {
 		w.Options(&o)
@@ -119,6 +120,8 @@
 		n.pullRecords(a)
 	case control.ReadStore:
 		n.read(a)
+	case control.ReadHistory:
+		n.readHistory(a)
 	case control.QuerySeeds:
 		n.querySeeds(a)
 	case control.ProbeEndpoint:
@@ -231,6 +234,23 @@
 	})
 }
 
+// readHistory simulates a read of the writes that the store has kept from before a revision.
+func (n *Node) readHistory(action control.ReadHistory) {
+	w, process := n.World, n.incarnation
+	n.Reads++
+	w.After(storeLatency, func() {
+		if n.incarnation != process {
+			return
+		}
+		if w.partitioned(string(n.ID), StoreName) || n.StoreRejects {
+			n.run(func() { n.State.HistoryRead(w.Now(), action.Before, nil, errStoreBusy) })
+			return
+		}
+		writes := w.history(action.Before, action.Writes)
+		n.run(func() { n.State.HistoryRead(w.Now(), action.Before, writes, nil) })
+	})
+}
+
 // querySeeds simulates queries to the seeds that run: to all of them, or to a random one.
 func (n *Node) querySeeds(query control.QuerySeeds) {
 	w := n.World
@@ -299,17 +319,3 @@
 		})
 	})
 }
-
-// Publish writes the entries of endpoints to the store, as their heartbeats do.
-func (w *World) Publish(es ...*Endpoint) {
-	for _, e := range es {
-		w.Endpoints[e.ID] = e
-		w.Store.Write(publishedtest.Endpoint(e.Endpoint, 0))
-	}
-}
-
-// Remove deletes an endpoint's entry from the store.
-func (w *World) Remove(id fleet.EndpointID) { w.Store.Write(publishedtest.EndpointGone(id)) }
-
-// Write writes other items to the store.
-func (w *World) Write(items ...published.Item) { w.Store.Write(items...) }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -27,6 +27,7 @@
 	{AggregatorsChanged, "aggregators_changed", Info, "The aggregators of this gateway's data centre, as it sees them, have changed."},
 	{OriginsReplicated, "origins_replicated", Info, "The records of where streams began were sent to other gateways, because a service may now have several versions."},
 	{OriginUnknown, "origin_unknown", Warning, "It is not known at which version a stream began that a caller resumes."},
+	{VersionsLearned, "versions_learned", Info, "This process has learned from a peer or from the history of the store which software versions served before it started."},
 	{CrashNewsUnsent, "crash_news_unsent", Warning, "News of requests that crash endpoints could not be sent to other gateways."},
 	{CrashNewsRejected, "crash_news_rejected", Warning, "News of requests that crash endpoints was not accepted, because it is not proved to come from a gateway."},
 	{OwnershipGained, "ownership_gained", Info, "This router has become the owner of a resource."},
--- a/internal/event/number.go
+++ b/internal/event/number.go
@@ -62,6 +62,7 @@
 	OriginUnknown         Number = 311
 	CrashNewsUnsent       Number = 312
 	CrashNewsRejected     Number = 313
+	VersionsLearned       Number = 314
 	EndpointListed        Number = 405
 	EndpointLapsed        Number = 406
 	EndpointRemoved       Number = 407
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 	randomSeed := newRandomSeed()
 	options := settings.controlOptions(randomSeed, o.Protocol)
 	options.Incarnation = fleet.Incarnation(uint32(randomSeed))
-	options.StartedAt, options.FirstStart = time.Now(), settings.FirstStart
+	options.FirstStart = settings.FirstStart
 	p.loop = newLoop(control.New(boottime.Now(), options), p.execute)
 	p.callers = ingress.New(p.loop, o.HeaderCodec, p.client, ingress.NewMeter(p.metrics.Scope()))
 	if err := p.listenPeers(options.Incarnation); err != nil {
@@ -204,6 +204,8 @@
 		p.start("pull_records", func() { p.pullRecords(a) }, "peer", a.From)
 	case control.ReadStore:
 		p.storeReads <- a // does not block: the state requests one read at a time
+	case control.ReadHistory:
+		p.start("read_history", func() { p.readHistory(a) }, "before", a.Before)
 	case control.QuerySeeds:
 		p.start("query_seeds", func() { p.querySeeds(a.All) })
 	case control.ProbeEndpoint:
@@ -254,6 +256,12 @@
 	})
 }
 
+// readHistory reads the writes of the store before a revision and passes them to the control state.
+func (p *process) readHistory(a control.ReadHistory) {
+	writes, err := p.store.Load().History(p.ctx, a.Before, a.Writes)
+	p.loop.Do(func(s *control.State, now boottime.Instant) { s.HistoryRead(now, a.Before, writes, err) })
+}
+
 // probe checks whether an endpoint accepts connections and reports the result to the control state.
 func (p *process) probe(a control.ProbeEndpoint) {
 	result := control.ProbeConnected
--- a/internal/gossip/fuzz_test.go
+++ b/internal/gossip/fuzz_test.go
@@ -16,7 +16,7 @@
 		wire.Status{Timestamp: 1, Echo: 2, InFlight: wire.Counts{1: 2}, Hello: &wire.Hello{Addr: "127.0.0.1:1"}},
 		wire.StreamOrigins{Origins: []wire.StreamOrigin{{Stream: 1, Version: 2, Endpoint: 3, AgeMS: 4, LeftMS: 5}}},
 		wire.OriginQuery{Query: 1, Stream: 2, Services: []uint32{3}},
-		wire.OriginReply{Query: 1, Version: 2, SoleVersion: 3},
+		wire.OriginReply{Query: 1, Recorded: true, Version: 2, SoleVersion: 3, AgeMS: 4},
 	} {
 		frame, err := wire.Encode(wire.Frame{Message: m})
 		if err != nil {
--- a/internal/ingress/change_run_test.go
+++ b/internal/ingress/change_run_test.go
@@ -247,7 +247,7 @@
 		q := <-queries
 		x.publish()
 		x.ts.control.Do(func(st *control.State, now boottime.Instant) {
-			st.Receive(now, peer.ID, 1, wire.OriginReply{Query: q.Query, Version: uint32(origin.VersionOf("v1"))})
+			st.Receive(now, peer.ID, 1, wire.OriginReply{Query: q.Query, Recorded: true, Version: uint32(origin.VersionOf("v1"))})
 		})
 	}()
 	return x.ts.send("POST", x.standing.route, "body", "X-After", "2")
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -57,8 +57,6 @@
 
 // TestSoleVersion checks that a service has one version only if no endpoint had another one within the period.
 func TestSoleVersion(t *testing.T) {
-	var h History
-	h.Replaced(start, 1)
 	for name, tc := range map[string]struct {
 		after   time.Duration
 		present []Version
@@ -71,7 +69,8 @@
 		"another one, after a period": {11 * time.Second, []Version{2, 2}, 2},
 		"two":                         {11 * time.Second, []Version{2, 3}, 0},
 	} {
-		history := History{replaced: map[Version]boottime.Instant{1: h.replaced[1]}}
+		history := NewHistory(start)
+		history.Replaced(start, 1)
 		if got := history.Sole(start.Add(tc.after), 10*time.Second, tc.present); got != tc.want {
 			t.Errorf("%s: %d, want %d", name, got, tc.want)
 		}
@@ -79,38 +78,61 @@
 }
 
 // TestLookups lets the gateways that are asked reply in random order or not at all, and others reply as well. A lookup
-// ends with the first version that an asked gateway knows, or with none when all have replied or at its timeout.
+// ends with the first reply of an asked gateway that has a record, whether or not its version is certain. It is unrecorded when all
+// have replied without one, or at its timeout.
 func TestLookups(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		asked := []fleet.InstanceID{"a", "b", "c"}[:rapid.IntRange(0, 3).Draw(t, "asked")]
 		var s Lookups
 		number, l := s.Start(start, 5, asked)
-		waiting, want := slices.Clone(asked), Version(0)
+		waiting, recorded, want := slices.Clone(asked), false, Version(0)
 		for range rapid.IntRange(0, 6).Draw(t, "replies") {
 			from := fleet.InstanceID(rapid.SampledFrom([]string{"a", "b", "c", "other"}).Draw(t, "from"))
-			reply := Reply{Version: Version(rapid.IntRange(0, 2).Draw(t, "version")), Sole: Version(rapid.IntRange(0, 1).Draw(t, "sole"))}
-			if i := slices.Index(waiting, from); i >= 0 && want == 0 {
+			reply := Reply{Recorded: rapid.Bool().Draw(t, "recorded"), Version: Version(rapid.IntRange(0, 2).Draw(t, "version"))}
+			if i := slices.Index(waiting, from); i >= 0 && !recorded {
 				waiting = slices.Delete(waiting, i, i+1)
-				want = max(reply.Version, 0)
-				if want == 0 {
-					want = reply.Sole
+				if recorded = reply.Recorded; recorded {
+					want = reply.Version
 				}
 			}
 			s.Receive(number, from, reply)
 		}
-		if ended := want != 0 || len(waiting) == 0; l.Ended() != ended {
-			t.Fatalf("ended: %t, want %t", l.Ended(), ended)
+		if l.Ended() != recorded || l.Unrecorded() != (!recorded && len(waiting) == 0) {
+			t.Fatalf("ended: %t, unrecorded: %t, want ended: %t, waiting for %d", l.Ended(), l.Unrecorded(), recorded, len(waiting))
 		}
 		var repeated []fleet.InstanceID
 		for _, after := range []time.Duration{0, repeatAfter, 2 * repeatAfter, lookupTimeout} {
 			s.Tick(start.Add(after), func(_ uint32, _ *Lookup, to fleet.InstanceID) { repeated = append(repeated, to) })
 		}
 		slices.Sort(repeated)
-		if want == 0 && !slices.Equal(repeated, waiting) {
+		if !recorded && !slices.Equal(repeated, waiting) {
 			t.Fatalf("asked again: %v, want %v", repeated, waiting)
 		}
-		if !l.Ended() || l.Version != want || len(s.pending) != 0 {
-			t.Fatalf("version %d, want %d; %d pending", l.Version, want, len(s.pending))
+		if l.Ended() != recorded || l.Unrecorded() == recorded || l.Version != want || len(s.pending) != 0 {
+			t.Fatalf("version %d, want %d; unrecorded: %t; %d pending", l.Version, want, l.Unrecorded(), len(s.pending))
 		}
 	})
 }
+
+// TestHistoryCovers checks from when on a history knows all versions.
+func TestHistoryCovers(t *testing.T) {
+	h := NewHistory(start)
+	for name, tc := range map[string]struct {
+		change func()
+		want   boottime.Instant
+	}{
+		"new":       {func() {}, start},
+		"extended":  {func() { h.Extend(start.Add(-time.Second)) }, start.Add(-time.Second)},
+		"not later": {func() { h.Extend(start.Add(time.Second)) }, start.Add(-time.Second)},
+		"forgotten": {func() { h.Forget(start.Add(2 * time.Second)) }, start.Add(2 * time.Second)},
+	} {
+		h = NewHistory(start)
+		if name == "not later" {
+			h.Extend(start.Add(-time.Second))
+		}
+		tc.change()
+		if got := h.Since(); got != tc.want || !h.Covers(tc.want.Add(time.Second), time.Second) || h.Covers(tc.want.Add(time.Second-1), time.Second) {
+			t.Errorf("%s: known since %d, want %d", name, got, tc.want)
+		}
+	}
+}
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -1,16 +1,15 @@
 // Package origin keeps where streams began: at which version of the endpoints' software. A stream may be resumed
 // only at the version that began it, and callers resume streams at any gateway.
 //
-// Three sources tell a gateway where a stream began, in this order: the history of the versions of a service, if there
-// has been only one for as long as a stream may last; its own table of records; and the gateways to which the one
-// that began the stream has replicated its record. Without any of them the origin is unknown.
+// Three sources tell a gateway where a stream began, in this order: its own table of records; the gateways to which the one
+// that began the stream has replicated its record; and the history of the versions of a service, if there has been only one for as
+// long as a stream may last. Without any of them the origin is unknown.
 //
 // The package does no I/O and reads no clock. Its types are not safe for concurrent use.
 package origin
 
 import (
 	"slices"
-	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
@@ -115,44 +114,3 @@
 
 // Dropped returns the number of records that did not fit.
 func (t *Table) Dropped() int { return t.dropped }
-
-// History holds the versions that endpoints of one service had before their present one, or before they were
-// removed.
-type History struct {
-	replaced map[Version]boottime.Instant // last time at which an endpoint had the version
-}
-
-// Replaced records that an endpoint had a version until now.
-func (h *History) Replaced(now boottime.Instant, v Version) {
-	if h.replaced == nil {
-		h.replaced = map[Version]boottime.Instant{}
-	}
-	h.replaced[v] = now
-}
-
-// Sole returns the only version of a service within a period that ends now, given the present versions of its
-// endpoints, or 0 if there were several or none.
-func (h *History) Sole(now boottime.Instant, period time.Duration, present []Version) Version {
-	sole := Version(0)
-	add := func(v Version) bool {
-		if sole == 0 {
-			sole = v
-		}
-		return sole == v
-	}
-	for _, v := range present {
-		if !add(v) {
-			return 0
-		}
-	}
-	for v, at := range h.replaced {
-		if now.Sub(at) > period {
-			delete(h.replaced, v)
-			continue
-		}
-		if !add(v) {
-			return 0
-		}
-	}
-	return sole
-}
--- a/internal/wire/origin.go
+++ b/internal/wire/origin.go
@@ -32,8 +32,10 @@
 type OriginReply struct {
 	_           struct{} `cbor:",toarray"`
 	Query       uint32
-	Version     uint32 // that began the stream; 0: not known
-	SoleVersion uint32 // the only one of the services for as long as a stream may last; 0: there is none
+	Recorded    bool   // the sender has a record of the stream
+	Version     uint32 // that began the stream, if it is recorded; 0: not certain
+	SoleVersion uint32 // the only one of the services for as long as a stream may last, as far as the store was read; 0: there is none
+	AgeMS       uint32 // of the sender's copy of the store, rounded up
 	// Unproven holds the record of the stream if the endpoint may have been restarted before it got the request, as
 	// far as the sender knows.
 	Unproven []StreamOrigin
