control: a version is inferred only from a copy of the store that is confirmed after the request arrived

Callers saw: during a release, at a gateway that had been cut off or standing still, streams that had begun at engines of the new version through other gateways went on at an engine of the former one (ORDER).

Cause: soleVersionStaleness let a copy of the store of up to a second ago decide that a service has one version.

Change: an endpoint is listed before a stream begins there, and the stream begins before it is resumed. A copy that was confirmed after the request arrived therefore proves what an earlier one cannot; the gateway reads the store at once if no peer confirms it, at most every 50 ms, and refuses the request if there is no such copy within 0.7 s. The stream's own gateway uses its record, and infers nothing. Gateways that may hold a record are asked first, and have 40 ms to object.

--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -92,7 +92,7 @@
 	r := &s.reader
 	onDemand := r.onDemandAt != 0 && !now.Before(r.onDemandAt) && !now.Before(r.onDemandNotBefore)
 	tooOld := s.SnapshotAge(now) >= s.readThreshold(now) && !now.Before(r.nextReadNotBefore)
-	if r.reading || !onDemand && !tooOld || s.mirror.Revision() == 0 && s.awaitsPeers(now) {
+	if r.reading || !onDemand && !tooOld && !s.proofReadDue(now) || s.mirror.Revision() == 0 && s.awaitsPeers(now) {
 		return
 	}
 	r.onDemandAt = 0
--- a/internal/control/soleversion.go
+++ b/internal/control/soleversion.go
@@ -14,7 +14,8 @@
 // While a service has one version, records of streams are not replicated: a stream without a record began at that version. This is
 // inferred when a caller resumes the stream, and only if all of the following hold:
 //
-//   - The copy of the store is not older than replicationStaleness.
+//   - The copy of the store was confirmed after the request arrived. An endpoint is listed before a stream begins there, and the
+//     stream begins before it is resumed, so the endpoint is in that copy, or in the history of versions if it has left.
 //   - The history of versions covers all the time for which a stream may last. A process that has started knows the versions since
 //     then. What was before, it learns from peers that knew it, or from the writes before its start that the store has kept.
 //   - No gateway that may hold a record of the stream has one.
@@ -25,6 +26,8 @@
 	replicationStaleness = time.Second
 	// objectionTime is how long a gateway with a record of a stream has to say so before its version is inferred.
 	objectionTime = 40 * time.Millisecond
+	// proofReadInterval is the minimum time between two reads of the store to infer versions.
+	proofReadInterval = 50 * time.Millisecond
 	// minEntryLifetime is the least time for which the entry of an endpoint stays in the store.
 	minEntryLifetime = 2 * time.Second
 )
@@ -118,6 +121,7 @@
 	l := s.askPeers(now, id, services)
 	s.origins.inquiries = append(s.origins.inquiries, inquiry{lookup: l, services: services, arrived: now, until: now.Add(recordProofTimeout)})
 	s.settleInquiries(now)
+	s.tickReader(now)
 	return l
 }
 
@@ -140,7 +144,7 @@
 	}
 	sole := s.soleVersionOf(now, q.services)
 	switch {
-	case sole != 0 && s.SnapshotAge(now) <= replicationStaleness && s.knowsVersions(now, q.services):
+	case sole != 0 && s.freshness.confirmedAt >= q.arrived && s.knowsVersions(now, q.services):
 		s.origins.lookups.End(q.lookup, sole)
 	case now >= q.until, sole == 0 && q.lookup.Unrecorded():
 		s.origins.lookups.End(q.lookup, 0)
@@ -155,6 +159,19 @@
 	s.origins.inquiries = slices.DeleteFunc(s.origins.inquiries, func(q inquiry) bool { return q.lookup == l })
 }
 
+// proofReadDue reports whether the store is to be read because an inquiry needs a later copy.
+func (s *State) proofReadDue(now boottime.Instant) bool {
+	if now.Sub(s.reader.lastReadSent) < proofReadInterval || now.Before(s.reader.nextReadNotBefore) {
+		return false
+	}
+	for _, q := range s.origins.inquiries {
+		if s.freshness.confirmedAt < q.arrived && s.soleVersionOf(now, q.services) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // addSoleVersion adds what this process knows of the versions of some services to a reply.
 func (s *State) addSoleVersion(now boottime.Instant, reply *wire.OriginReply, services []fleet.ServiceID) {
 	if !s.knowsVersions(now, services) {
