control: the versions before a start are proven by the store's revisions, not by heartbeats

Change: an endpoint that started before the time for which streams last, and is still there, had written its entry before. If every later revision is known, by the present items or by the writes that the store has kept, no version has left unknown. A deletion is known only if the entry before it is, an entry of a younger process only if its key is new or its entry before is known. A request is refused at once if the versions cannot be learned.

Evidence: the tests of the kill of all gateways, with three more cases (the history is gone, the configuration changes, a planned replacement).

--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -121,9 +121,9 @@
 func (s *State) applyWith(now boottime.Instant, u published.Update, apply func(published.Update) []published.ItemChange) {
 	before := s.mirror.Revision()
 	if before == 0 {
-		s.beginVersions(now, u.Revision)
+		s.beginVersions(now)
 	} else if u.Coalesced {
-		s.noteGap(now, s.lastConfirmedBefore(u), u.Revision)
+		s.noteGap(now, s.lastConfirmedBefore(u))
 	}
 	if before != 0 && published.EraOf(u.Revision) > published.EraOf(s.mirror.CoveredRevision()) {
 		s.beginEra(now, u.Revision)
--- a/internal/control/origins.go
+++ b/internal/control/origins.go
@@ -29,7 +29,7 @@
 	inquiries      []inquiry
 	histories      map[fleet.ServiceID]*origin.History
 	knownSince     boottime.Instant // from when on this process itself knows the versions of all services; 0: it has no copy of the store
-	versions       versionHistory
+	historyReads   historyReads
 	streamLifetime time.Duration // of the streams that may still last
 
 	shorterLifetime time.Duration    // of streams admitted now, if it is shorter; 0: it is not
--- a/internal/control/rejoin_test.go
+++ b/internal/control/rejoin_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/controltest"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
 )
 
 const (
@@ -25,6 +26,18 @@
 	return out
 }
 
+// incarnationNow returns the incarnation of an engine that starts now.
+func incarnationNow(w *controltest.World) fleet.Incarnation {
+	return fleet.Incarnation(w.Wall().UnixMilli())
+}
+
+// newEngine returns an engine that starts now.
+func newEngine(w *controltest.World, n int) *controltest.Endpoint {
+	e := engine(n, "a")
+	e.Incarnation = incarnationNow(w)
+	return e
+}
+
 // leave ends the engines of a version and deletes their entries.
 func leave(w *controltest.World, v fleet.SoftwareVersion) {
 	for _, e := range llmEngines(w, v) {
@@ -37,7 +50,6 @@
 // that were there. prepare is called at the start, and may change what happens around the kill.
 func rejoinLoad(t *testing.T, prepare func(w *controltest.World, at func(time.Duration, func()))) *streamLoad {
 	w := smallFleet(t)
-	w.Beat(rejoinKillAt + 30*time.Second)
 	at := func(d time.Duration, f func()) { w.After(d-w.Elapsed(), f) }
 	prepare(w, at)
 	w.Run(rejoinKillAt - 10*time.Second - w.Elapsed())
@@ -69,11 +81,16 @@
 			twoVersions(w)
 			at(rejoinKillAt-time.Second, func() { leave(w, "v2") })
 		},
+		"a version left before, and the history is gone": func(w *controltest.World, at func(time.Duration, func())) {
+			twoVersions(w)
+			at(rejoinKillAt-time.Second, func() { leave(w, "v2") })
+			at(rejoinKillAt+time.Second, w.DropHistory)
+		},
 		"all engines are listed after the start": func(w *controltest.World, at func(time.Duration, func())) {
 			at(rejoinKillAt+time.Second, func() { leave(w, "") })
 			at(rejoinKillAt+rejoinDown+500*time.Millisecond, func() {
 				for n := range 9 {
-					w.Publish(versioned(engine(100+n, "a"), "v2"))
+					w.Publish(versioned(newEngine(w, 100+n), "v2"))
 				}
 			})
 		},
@@ -82,7 +99,7 @@
 				for _, e := range llmEngines(w, "") {
 					e.Crash()
 					e.Down = false
-					e.Version, e.Incarnation = "v2", 2
+					e.Version, e.Incarnation = "v2", incarnationNow(w)
 					w.Publish(e)
 				}
 			})
@@ -105,14 +122,26 @@
 func TestStreamsOfOneVersionGoOnAfterAKillOfAllGateways(t *testing.T) {
 	for name, prepare := range map[string]func(w *controltest.World, at func(time.Duration, func())){
 		"all engines stay": func(*controltest.World, func(time.Duration, func())) {},
-		"an engine crashes": func(w *controltest.World, at func(time.Duration, func())) {
-			at(rejoinKillAt-5*time.Second, func() { w.Endpoints["engine-3"].Crash() })
-			at(rejoinKillAt-1400*time.Millisecond, func() { w.Remove("engine-3") })
+		"an engine crashed a while ago": func(w *controltest.World, at func(time.Duration, func())) {
+			at(rejoinKillAt-30*time.Second, func() { w.Endpoints["engine-3"].Crash(); w.Remove("engine-3") })
+			at(rejoinKillAt-29*time.Second, func() { w.Publish(newEngine(w, 50)) })
+		},
+		"an engine is added": func(w *controltest.World, at func(time.Duration, func())) {
+			at(rejoinKillAt-3*time.Second, func() { w.Publish(newEngine(w, 50)) })
 		},
-		"an engine is replaced": func(w *controltest.World, at func(time.Duration, func())) {
-			at(rejoinKillAt-3*time.Second, func() { w.Publish(engine(50, "b")) })
+		"an engine is replaced as planned": func(w *controltest.World, at func(time.Duration, func())) {
+			at(rejoinKillAt-6*time.Second, func() { w.Publish(newEngine(w, 50)) })
+			at(rejoinKillAt-4*time.Second, func() {
+				e := w.Endpoints["engine-3"]
+				e.Leaving = true
+				w.Publish(e)
+			})
 			at(rejoinKillAt+time.Second, func() { w.Remove("engine-3") })
 		},
+		"the configuration changes": func(w *controltest.World, at func(time.Duration, func())) {
+			at(rejoinKillAt-3*time.Second, func() { w.Write(publishedtest.Config(config(2, "key"))) })
+			at(rejoinKillAt-time.Second, func() { w.Write(publishedtest.Config(config(3, "key"))) })
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := rejoinLoad(t, prepare)
--- a/internal/control/soleversion.go
+++ b/internal/control/soleversion.go
@@ -17,7 +17,7 @@
 //   - The copy of the store was confirmed after the request arrived. An endpoint is listed before a stream begins there, and the
 //     stream begins before it is resumed, so the endpoint is in that copy, or in the history of versions if it has left.
 //   - The history of versions covers all the time for which a stream may last. A process that has started knows the versions since
-//     then. What was before, it learns from peers that knew it, or from the writes before its start that the store has kept.
+//     then. What was before, it learns from peers that knew it, or from the history of the store.
 //   - No gateway that may hold a record of the stream has one.
 
 const (
@@ -41,8 +41,7 @@
 }
 
 // beginVersions records the first copy of the store. In a fleet that starts for the first time, no version was before.
-func (s *State) beginVersions(now boottime.Instant, revision fleet.Revision) {
-	s.origins.versions.firstRevision = revision
+func (s *State) beginVersions(now boottime.Instant) {
 	s.origins.knownSince = now
 	if s.opts.FirstStart {
 		s.origins.knownSince = now.Add(-maxStreamLifetime)
@@ -64,13 +63,13 @@
 	s.history(e.Service).Replaced(now, e.version)
 }
 
-// noteGap records that an update of the copy, to a revision, may lack intermediate writes. Between two copies that are less than
+// noteGap records that an update of the copy may lack intermediate writes. Between two copies that are less than
 // minEntryLifetime apart, no endpoint has come and gone.
-func (s *State) noteGap(now, lastConfirmed boottime.Instant, revision fleet.Revision) {
+func (s *State) noteGap(now, lastConfirmed boottime.Instant) {
 	if now.Sub(lastConfirmed) <= minEntryLifetime {
 		return
 	}
-	s.origins.knownSince, s.origins.versions.firstRevision = now, revision
+	s.origins.knownSince = now
 	for _, h := range s.origins.histories {
 		h.Forget(now)
 	}
@@ -146,7 +145,7 @@
 	switch {
 	case sole != 0 && s.freshness.confirmedAt >= q.arrived && s.knowsVersions(now, q.services):
 		s.origins.lookups.End(q.lookup, sole)
-	case now >= q.until, sole == 0 && q.lookup.Unrecorded():
+	case now >= q.until, q.lookup.Unrecorded() && (sole == 0 || !s.mayLearnVersions(now, q.services)):
 		s.origins.lookups.End(q.lookup, 0)
 	default:
 		return false
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -24,8 +24,6 @@
 	Protocol    published.Protocol
 	FirstStart  bool // the whole fleet starts for the first time, so that no stream began before
 
-	HeartbeatInterval time.Duration // between two writes of an endpoint's entry; 0: not known
-
 	StrictRevoke         bool          // reject API keys if the snapshot is older than AuthStalenessBound
 	AuthStalenessBound   time.Duration // snapshot age up to which API keys are accepted with StrictRevoke
 	DenialStalenessBound time.Duration // snapshot age up to which rejections of unknown routes and keys are not retryable
--- a/internal/control/versionhistory.go
+++ b/internal/control/versionhistory.go
@@ -11,144 +11,162 @@
 	"github.com/dandelionvane/dandelionvane/internal/published"
 )
 
-// A process that has started, while no peer knows more than itself, reads the writes that the store has kept from before its start:
-// endpoints write heartbeats, so that those that have left since are among them, with their versions.
+// A process that has started, while no peer knows more than itself, may still know all versions of the last time: an endpoint that
+// started before that time and is still there had written its entry before. If every later write of the store is known, no endpoint has
+// left without its version being known.
 
 const (
 	// historyReadInterval is the minimum time between two reads of the store's history.
-	historyReadInterval = time.Second
-	// historySlack is how much longer than a stream may last the history is read for.
-	historySlack = 2 * time.Second
-	// minHeartbeatShare is the least time between two heartbeats, as a share of their interval.
-	minHeartbeatShare = 0.9
-	// departureTime is how long after its entry was deleted an endpoint may still begin a stream.
-	departureTime = 2 * time.Second
+	historyReadInterval = 2 * time.Second
+	// clockTolerance is how far the wall clocks of gateways and endpoints may differ.
+	clockTolerance = 5 * time.Second
 )
 
-// ReadHistory requests the writes of the store before a revision. The result is passed to HistoryRead.
-type ReadHistory struct {
-	Before fleet.Revision
-	Writes int // number of writes that suffices
-}
+// ReadHistory requests the history of the store. The result is passed to HistoryRead.
+type ReadHistory struct{}
 
 func (ReadHistory) action() {}
 
-// versionHistory is the progress of reading the store's history.
-type versionHistory struct {
-	firstRevision fleet.Revision // of the copy of the store since which all versions are known; 0: there is none
-	reading       bool
-	readAt        boottime.Instant // last read; 0: none
+// historyReads is the progress of reading the store's history.
+type historyReads struct {
+	reading bool
+	readAt  boottime.Instant // last read; 0: none
+}
+
+// due reports whether the history is being read, or may be read now.
+func (h *historyReads) due(now boottime.Instant) bool {
+	return h.reading || h.readAt == 0 || now.Sub(h.readAt) >= historyReadInterval
+}
+
+// mayLearnVersions reports whether this process may learn within moments which versions some services have had.
+func (s *State) mayLearnVersions(now boottime.Instant, services []fleet.ServiceID) bool {
+	return s.knowsVersions(now, services) || s.origins.historyReads.due(now)
 }
 
 // readHistoryIfNeeded requests the store's history if an inquiry needs it.
 func (s *State) readHistoryIfNeeded(now boottime.Instant) {
-	v := &s.origins.versions
-	if v.reading || v.firstRevision == 0 || s.opts.HeartbeatInterval <= 0 || v.readAt != 0 && now.Sub(v.readAt) < historyReadInterval {
+	reads := &s.origins.historyReads
+	if reads.reading || !reads.due(now) {
 		return
 	}
 	needed := slices.ContainsFunc(s.origins.inquiries, func(q inquiry) bool {
 		return q.lookup.Unrecorded() && !s.knowsVersions(now, q.services)
 	})
-	if !needed {
-		return
+	if needed {
+		reads.reading, reads.readAt = true, now
+		s.emit(ReadHistory{})
 	}
-	v.reading, v.readAt = true, now
-	s.emit(ReadHistory{Before: v.firstRevision, Writes: s.expectedWrites()})
-}
-
-// expectedWrites returns how many heartbeats all endpoints write in the time that the history is read for.
-func (s *State) expectedWrites() int {
-	span := s.origins.streamLifetime + historySlack
-	return len(s.endpointList)*int(span/s.opts.HeartbeatInterval+1) + 1
 }
 
-// HistoryRead handles the result of a ReadHistory action: writes in the order of their revisions.
-func (s *State) HistoryRead(now boottime.Instant, before fleet.Revision, writes []published.Item, err error) {
-	v := &s.origins.versions
-	v.reading = false
+// HistoryRead handles the result of a ReadHistory action, which was requested at the given time of the wall clock or later.
+func (s *State) HistoryRead(now boottime.Instant, wall time.Time, h published.History, err error) {
+	reads := &s.origins.historyReads
+	reads.reading = false
 	if err != nil {
-		s.log(event.PlatformUnreadable, "err", err.Error(), "history_before", before)
+		s.log(event.PlatformUnreadable, "err", err.Error(), "read", "history")
+		s.settleInquiries(now)
 		return
 	}
-	h := s.decodeHistory(writes)
-	for id, versions := range h.versions {
-		for version := range versions {
-			s.history(id).Replaced(s.origins.knownSince, version)
-		}
+	w := writtenVersions{protocol: s.opts.Protocol, since: wall.Add(-s.origins.streamLifetime - clockTolerance)}
+	complete := w.decode(h)
+	if complete {
+		s.adoptWrittenVersions(now, &w)
 	}
-	reach := h.reach(s.opts.HeartbeatInterval)
-	for _, history := range s.origins.histories {
-		if history.Since() <= s.origins.knownSince {
-			history.Extend(s.origins.knownSince.Add(-reach))
+	s.log(event.VersionsLearned, "from", "store", "revision", h.Revision, "writes", len(h.Writes), "complete", complete)
+	s.settleInquiries(now)
+}
+
+func (s *State) adoptWrittenVersions(now boottime.Instant, w *writtenVersions) {
+	for id, versions := range w.versions {
+		for v := range versions {
+			s.history(id).Replaced(now, v)
 		}
 	}
-	s.log(event.VersionsLearned, "from", "store", "writes", len(writes), "known_ms", reach.Milliseconds())
-	s.settleInquiries(now)
+	for id := range s.services {
+		s.history(id).Extend(now.Add(-s.origins.streamLifetime))
+	}
 }
 
-// writtenHistory is what the store's writes before a revision show.
-type writtenHistory struct {
-	versions   map[fleet.ServiceID]map[origin.Version]bool
-	heartbeats map[fleet.EndpointID]int // writes that repeat the endpoint's entry
-	departed   bool                     // the writes begin with the departure of an endpoint whose version is not known
+// writtenVersions is what the store's history tells of the versions that endpoints have had since a time.
+type writtenVersions struct {
+	protocol published.Protocol
+	since    time.Time
+	versions map[fleet.ServiceID]map[origin.Version]bool
+	written  map[fleet.EndpointID]bool // endpoints whose entry, as it was at some time since, is known
+	known    map[fleet.Revision]bool   // writes whose effect on versions is known
+	oldest   fleet.Revision            // write that was made before the time
+	hidden   bool                      // an endpoint had another process before, whose version is not known
 }
 
-// decodeHistory returns what writes show of the time after the last departure of an endpoint whose version they do not show.
-func (s *State) decodeHistory(writes []published.Item) writtenHistory {
-	h := newWrittenHistory(false)
-	last := map[fleet.EndpointID]fleet.Endpoint{}
-	for _, it := range writes {
-		record, err := s.opts.Protocol.DecodeItem(it)
-		if err != nil && record == nil {
-			continue
+// decode reports whether the history holds all versions since the time: every write after one that was made before it is known.
+func (w *writtenVersions) decode(h published.History) bool {
+	w.versions = map[fleet.ServiceID]map[origin.Version]bool{}
+	w.written = map[fleet.EndpointID]bool{}
+	w.known = map[fleet.Revision]bool{}
+	for _, it := range h.Writes {
+		w.addWrite(it)
+	}
+	for _, it := range h.Present {
+		w.addPresent(it)
+	}
+	if w.oldest == 0 || w.hidden {
+		return false
+	}
+	for r := h.Revision; r > w.oldest; r-- {
+		if !w.known[r] {
+			return false
 		}
-		switch r := record.(type) {
-		case published.Endpoint:
-			e := r.Endpoint
-			h.add(e, last[e.ID] == e)
-			last[e.ID] = e
-		case published.EndpointGone:
-			if _, known := last[r.ID]; !known {
-				h = newWrittenHistory(true)
-				clear(last)
-			}
+	}
+	return true
+}
+
+// addWrite adds a write; earlier ones have been added before. A deletion is known if the endpoint's version is.
+func (w *writtenVersions) addWrite(it published.Item) {
+	record, err := w.protocol.DecodeItem(it)
+	switch r := record.(type) {
+	case published.Endpoint:
+		w.addEntry(it, r.Endpoint)
+	case published.EndpointGone:
+		if err != nil || !w.written[r.ID] {
+			return
 		}
 	}
-	return h
+	w.known[it.Revision] = true
 }
 
-func newWrittenHistory(departed bool) writtenHistory {
-	return writtenHistory{versions: map[fleet.ServiceID]map[origin.Version]bool{}, heartbeats: map[fleet.EndpointID]int{}, departed: departed}
+// addPresent adds the present item of a key.
+func (w *writtenVersions) addPresent(it published.Item) {
+	record, err := w.protocol.DecodeItem(it)
+	switch r := record.(type) {
+	case published.Endpoint:
+		w.addEntry(it, r.Endpoint)
+		if w.startedBefore(r.Endpoint) {
+			w.oldest = max(w.oldest, it.Created)
+		}
+	case published.EndpointGone:
+		if err != nil {
+			return // what an unreadable entry was before is not known
+		}
+	}
+	w.known[it.Revision], w.known[it.Created] = true, true
 }
 
-func (h *writtenHistory) add(e fleet.Endpoint, repeated bool) {
-	versions := h.versions[e.Service]
+// addEntry adds an entry of an endpoint. An endpoint that started before the time has had its version since. For a later one, its
+// key must be new, or its entry before known.
+func (w *writtenVersions) addEntry(it published.Item, e fleet.Endpoint) {
+	if !w.written[e.ID] && it.Created != it.Revision && !w.startedBefore(e) {
+		w.hidden = true
+	}
+	w.written[e.ID] = true
+	versions := w.versions[e.Service]
 	if versions == nil {
 		versions = map[origin.Version]bool{}
-		h.versions[e.Service] = versions
+		w.versions[e.Service] = versions
 	}
 	versions[origin.VersionOf(e.Version)] = true
-	if repeated {
-		h.heartbeats[e.ID]++
-	} else {
-		h.heartbeats[e.ID] += 0
-	}
 }
 
-// reach returns for how long before their end the writes show all versions, by the heartbeats of the endpoint at the upper quartile:
-// those at the top may have other writers.
-func (h *writtenHistory) reach(heartbeat time.Duration) time.Duration {
-	var counts []int
-	for _, n := range h.heartbeats {
-		counts = append(counts, n)
-	}
-	if len(counts) == 0 {
-		return 0
-	}
-	slices.Sort(counts)
-	reach := time.Duration(float64(counts[3*(len(counts)-1)/4]) * float64(heartbeat) * minHeartbeatShare)
-	if h.departed {
-		reach -= departureTime
-	}
-	return max(reach, 0)
+// startedBefore reports whether an endpoint started, and wrote its entry, before the time.
+func (w *writtenVersions) startedBefore(e fleet.Endpoint) bool {
+	return e.Incarnation != 0 && !time.UnixMilli(int64(e.Incarnation)).Add(registrationDelay).After(w.since)
 }
--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -51,7 +51,6 @@
 		RetryRatio:           0.2,
 		RetryExtra:           58,
 		RetryWindow:          10 * time.Second,
-		HeartbeatInterval:    HeartbeatInterval,
 	}
 	if w.Options != nil {
 		w.Options(&o)
@@ -121,7 +120,7 @@
 	case control.ReadStore:
 		n.read(a)
 	case control.ReadHistory:
-		n.readHistory(a)
+		n.readHistory()
 	case control.QuerySeeds:
 		n.querySeeds(a)
 	case control.ProbeEndpoint:
@@ -234,20 +233,20 @@
 	})
 }
 
-// readHistory simulates a read of the writes that the store has kept from before a revision.
-func (n *Node) readHistory(action control.ReadHistory) {
-	w, process := n.World, n.incarnation
+// readHistory simulates a read of the store's history.
+func (n *Node) readHistory() {
+	w, process, wall := n.World, n.incarnation, n.World.Wall()
 	n.Reads++
 	w.After(storeLatency, func() {
 		if n.incarnation != process {
 			return
 		}
+		var err error
 		if w.partitioned(string(n.ID), StoreName) || n.StoreRejects {
-			n.run(func() { n.State.HistoryRead(w.Now(), action.Before, nil, errStoreBusy) })
-			return
+			err = errStoreBusy
 		}
-		writes := w.history(action.Before, action.Writes)
-		n.run(func() { n.State.HistoryRead(w.Now(), action.Before, writes, nil) })
+		h := w.history()
+		n.run(func() { n.State.HistoryRead(w.Now(), wall, h, err) })
 	})
 }
 
--- a/internal/controltest/store.go
+++ b/internal/controltest/store.go
@@ -1,7 +1,6 @@
 package controltest
 
 import (
-	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -10,12 +9,11 @@
 	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
 )
 
-const (
-	// HeartbeatInterval is the time between two heartbeats of an endpoint, see World.Beat.
-	HeartbeatInterval = 1200 * time.Millisecond
-	// historyRetention is how long the store keeps its writes.
-	historyRetention = 20 * time.Second
-)
+// historyRetention is how long the store keeps its writes.
+const historyRetention = 20 * time.Second
+
+// wallEpoch is the time of the wall clock at which a simulation starts. Endpoints with low incarnations have run for long.
+var wallEpoch = time.UnixMilli(1_700_000_000_000)
 
 // writeTime is when the store got a revision.
 type writeTime struct {
@@ -39,36 +37,26 @@
 // Remove deletes an endpoint's entry from the store.
 func (w *World) Remove(id fleet.EndpointID) { w.Write(publishedtest.EndpointGone(id)) }
 
-// Beat has the endpoints that are listed write heartbeats until a time.
-func (w *World) Beat(until time.Duration) {
-	if w.Elapsed() > until {
-		return
-	}
-	w.heartbeats++
-	for _, it := range w.Store.Content(true, 0).Items {
-		if e := w.listed(it); e != nil {
-			w.Write(publishedtest.Endpoint(e.Endpoint, w.heartbeats))
-		}
-	}
-	w.After(HeartbeatInterval, func() { w.Beat(until) })
-}
+// Wall returns the time of the wall clock of all processes.
+func (w *World) Wall() time.Time { return wallEpoch.Add(w.Elapsed()) }
 
-// listed returns the endpoint of an item, or nil if it is not an endpoint's entry or the endpoint is down.
-func (w *World) listed(it published.Item) *Endpoint {
-	r, err := publishedtest.Protocol{}.DecodeItem(it)
-	if e, ok := r.(published.Endpoint); ok && err == nil && !w.Endpoints[e.Endpoint.ID].Down {
-		return w.Endpoints[e.Endpoint.ID]
-	}
-	return nil
+// history returns what the store tells of the time before now.
+func (w *World) history() published.History {
+	kept := w.Store.Update(false, w.oldestKept())
+	present := w.Store.Update(true, 0)
+	return published.History{Revision: present.Revision, Present: present.Items, Writes: kept.Items}
 }
 
-// history returns the last n writes before a revision that the store has kept.
-func (w *World) history(before fleet.Revision, n int) []published.Item {
-	oldest := before - min(fleet.Revision(n), published.StoreRevision(before))
+// oldestKept returns the last revision that the store has not kept.
+func (w *World) oldestKept() fleet.Revision {
+	oldest := fleet.Revision(0)
 	for _, t := range w.writeTimes {
 		if w.Now().Sub(t.at) > historyRetention {
-			oldest = max(oldest, t.revision)
+			oldest = t.revision
 		}
 	}
-	return slices.DeleteFunc(w.Store.Update(false, oldest).Items, func(it published.Item) bool { return it.Revision > before })
+	return max(oldest, w.historyDropped)
 }
+
+// DropHistory discards the writes that the store has kept.
+func (w *World) DropHistory() { w.historyDropped = w.Store.Update(true, 0).Revision }
--- a/internal/controltest/world.go
+++ b/internal/controltest/world.go
@@ -44,10 +44,10 @@
 	Options     func(o *control.Options) // adjusts the options of each gateway; may be nil
 	OnLog       func(n *Node, l control.Log)
 
-	rng        *rand.Rand
-	nodesByID  map[fleet.InstanceID]*Node
-	writeTimes []writeTime // of the store, oldest first
-	heartbeats int         // written by each endpoint
+	rng            *rand.Rand
+	nodesByID      map[fleet.InstanceID]*Node
+	writeTimes     []writeTime    // of the store, oldest first
+	historyDropped fleet.Revision // the store has discarded the writes up to this one
 }
 
 // New returns a simulation with the given number of gateways per data centre, named a-1, a-2,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -205,7 +205,7 @@
 	case control.ReadStore:
 		p.storeReads <- a // does not block: the state requests one read at a time
 	case control.ReadHistory:
-		p.start("read_history", func() { p.readHistory(a) }, "before", a.Before)
+		p.start("read_history", p.readHistory)
 	case control.QuerySeeds:
 		p.start("query_seeds", func() { p.querySeeds(a.All) })
 	case control.ProbeEndpoint:
@@ -256,10 +256,11 @@
 	})
 }
 
-// readHistory reads the writes of the store before a revision and passes them to the control state.
-func (p *process) readHistory(a control.ReadHistory) {
-	writes, err := p.store.Load().History(p.ctx, a.Before, a.Writes)
-	p.loop.Do(func(s *control.State, now boottime.Instant) { s.HistoryRead(now, a.Before, writes, err) })
+// readHistory reads the history of the store and passes it to the control state.
+func (p *process) readHistory() {
+	wall := time.Now()
+	h, err := p.store.Load().History(p.ctx)
+	p.loop.Do(func(s *control.State, now boottime.Instant) { s.HistoryRead(now, wall, h, err) })
 }
 
 // probe checks whether an endpoint accepts connections and reports the result to the control state.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -46,8 +46,8 @@
 }
 
 // Bounds holds the timeouts, rates and delays that the deployment requires of the fleet. The
-// gateway doesn't use EndpointDrainDelay, ColdMultiple, ColdExtra, AddressReuseDelay, CacheRetention and
-// MaxForwardDelay.
+// gateway doesn't use EndpointDrainDelay, ColdMultiple, ColdExtra, AddressReuseDelay,
+// EndpointHeartbeatInterval, CacheRetention and MaxForwardDelay.
 type Bounds struct {
 	StopGracePeriod           time.Duration // between the stop signal and the kill of the process
 	EndpointDrainDelay        time.Duration // within which a draining endpoint gets its last request
@@ -104,6 +104,5 @@
 		RetryRatio:           bounds.RetryRatio,
 		RetryExtra:           bounds.RetryExtra,
 		RetryWindow:          bounds.RetryWindow,
-		HeartbeatInterval:    bounds.EndpointHeartbeatInterval,
 	}
 }
--- a/internal/published/client.go
+++ b/internal/published/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -147,30 +146,12 @@
 	return p.inEra(era), err
 }
 
-// historyStep is the share of the writes that the next try asks for if the store no longer has all of them.
-const historyStep = 0.85
-
-// History returns the writes before a revision in their order: the last n, or those of them that the store still has.
-func (c *Client) History(ctx context.Context, before fleet.Revision, n int) ([]Item, error) {
-	for n > 0 {
-		after := before - min(fleet.Revision(n), StoreRevision(before))
-		p, err := c.Changes(ctx, after)
-		if err == nil {
-			return slices.DeleteFunc(p.Items, func(it Item) bool { return it.Revision > before }), nil
-		}
-		if !errors.Is(err, ErrHistoryGone) {
-			return nil, err
-		}
-		n = int(float64(n) * historyStep)
-	}
-	return nil, ErrHistoryGone
-}
-
 // inEra returns the page with its revisions in an era.
 func (p Page) inEra(era uint64) Page {
 	p.Revision = InEra(era, p.Revision)
 	for i := range p.Items {
 		p.Items[i].Revision = InEra(era, p.Items[i].Revision)
+		p.Items[i].Created = InEra(era, p.Items[i].Created)
 	}
 	return p
 }
--- a/internal/published/publishedtest/store.go
+++ b/internal/published/publishedtest/store.go
@@ -39,7 +39,10 @@
 	defer s.mu.Unlock()
 	for _, it := range items {
 		s.revision++
-		it.Revision = s.revision
+		it.Revision, it.Created = s.revision, s.revision
+		if old, ok := s.items[it.Key]; ok {
+			it.Created = old.Created
+		}
 		s.writes = append(s.writes, it)
 		s.items[it.Key] = it
 		if it.Deleted {
@@ -111,6 +114,7 @@
 	u.Revision = published.InEra(era, u.Revision)
 	for i := range u.Items {
 		u.Items[i].Revision = published.InEra(era, u.Items[i].Revision)
+		u.Items[i].Created = published.InEra(era, u.Items[i].Created)
 	}
 	return u
 }
--- a/internal/published/record.go
+++ b/internal/published/record.go
@@ -13,6 +13,7 @@
 	Key      string
 	Value    []byte
 	Revision fleet.Revision // revision of the write or deletion
+	Created  fleet.Revision // revision at which the key was created; 0: not known
 	Deleted  bool
 }
 
