--- a/internal/controltest/call.go
+++ b/internal/controltest/call.go
@@ -50,6 +50,7 @@
 	Runs      int  // endpoints that began to run it
 	BreakOffs int  // endpoints that broke off or failed while they ran it
 	Silenced  bool // an endpoint that ran it was silent
+	AtWork    bool // an endpoint ran it when its gateway ended
 }
 
 // call is the state of a Call in its gateway.
--- a/internal/controltest/stop.go
+++ b/internal/controltest/stop.go
@@ -16,6 +16,9 @@
 	stopPoll           = 20 * time.Millisecond
 )
 
+// StopTime returns how long a planned stop lasts at most.
+func StopTime(grace time.Duration) time.Duration { return grace - stopReserve }
+
 // Accepts reports whether a request can reach the gateway on a kept connection.
 func (n *Node) Accepts() bool { return n.State != nil && !n.closed }
 
@@ -30,7 +33,7 @@
 func (n *Node) StopPlanned(grace, d time.Duration) {
 	process := n.incarnation
 	n.run(func() { n.State.Stop(n.World.Now()) })
-	end := n.World.Elapsed() + grace - stopReserve
+	end := n.World.Elapsed() + StopTime(grace)
 	var poll func()
 	poll = func() {
 		if n.incarnation != process {
@@ -52,6 +55,7 @@
 	calls := slices.SortedFunc(maps.Keys(n.calls), func(a, b *call) int { return cmp.Compare(a.ID, b.ID) })
 	for _, c := range calls {
 		if c.attempt != nil {
+			c.AtWork = c.attempt.running
 			c.attempt.close(control.Cancelled)
 		}
 		c.end(e, control.ReasonNone)
