control: after an outage of the store a gateway still knows the versions that it knew

By reading, not shown by a run: every update that may lack intermediate writes, and follows more than two seconds on the one before, set the knowledge of versions back, so that after each outage of the store all gateways but its readers had to learn it again from a peer.

A reply of a peer settles the lookups only if it changes one.

--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -123,7 +123,7 @@
 	if before == 0 {
 		s.beginVersions(now)
 	} else if u.Coalesced {
-		s.noteGap(now, s.lastConfirmedBefore(u))
+		s.noteGap(now, s.lastConfirmedBefore(u), u)
 	}
 	if before != 0 && published.EraOf(u.Revision) > published.EraOf(s.mirror.CoveredRevision()) {
 		s.beginEra(now, u.Revision)
--- a/internal/control/origins.go
+++ b/internal/control/origins.go
@@ -200,11 +200,15 @@
 		}
 		return
 	}
-	if l := s.origins.lookups.Asked(m.Query, from); l != nil {
-		s.learnVersions(now, l, m)
+	l := s.origins.lookups.Asked(m.Query, from)
+	if l == nil {
+		return
 	}
+	s.learnVersions(now, l, m)
 	s.origins.lookups.Receive(m.Query, from, origin.Reply{Recorded: m.Recorded, Version: origin.Version(m.Version)})
-	s.settleInquiries(now)
+	if l.Unrecorded() {
+		s.settleInquiries(now)
+	}
 }
 
 // tickOrigins repeats and ends lookups, deletes expired records, and replicates the own records of services that
--- a/internal/control/rejoin_test.go
+++ b/internal/control/rejoin_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/controltest"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
@@ -151,3 +152,32 @@
 		})
 	}
 }
+
+// TestStreamsOfOneVersionGoOnAfterAnOutageOfTheStore guards against a fleet that no longer knows of a service's one version because most
+// gateways get what they have missed from a peer.
+func TestStreamsOfOneVersionGoOnAfterAnOutageOfTheStore(t *testing.T) {
+	w := smallFleet(t, func(w *controltest.World) {
+		w.Options = func(o *control.Options) { o.FirstStart = true }
+		for _, n := range w.Nodes {
+			n.Start()
+		}
+	})
+	away := true
+	w.Partitioned = func(a, b string) bool { return away && (a == controltest.StoreName || b == controltest.StoreName) }
+	w.Run(5 * time.Second)
+	w.Publish(newEngine(w, 50))
+	away = false
+	w.Run(time.Second)
+	l := newStreamLoad(w)
+	l.run(40, w.Elapsed()+3*time.Second)
+	w.After(1500*time.Millisecond, func() {
+		for _, n := range w.Nodes[:4] {
+			n.RestartAfter(2 * time.Second)
+		}
+	})
+	w.Run(6 * time.Second)
+	l.check(t)
+	if l.wentOn < l.resumed*9/10 {
+		t.Errorf("%d of %d resumed streams went on", l.wentOn, l.resumed)
+	}
+}
--- a/internal/control/soleversion.go
+++ b/internal/control/soleversion.go
@@ -8,6 +8,7 @@
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/origin"
+	"github.com/dandelionvane/dandelionvane/internal/published"
 	"github.com/dandelionvane/dandelionvane/internal/wire"
 )
 
@@ -63,10 +64,10 @@
 	s.history(e.Service).Replaced(now, e.version)
 }
 
-// noteGap records that an update of the copy may lack intermediate writes. Between two copies that are less than
-// minEntryLifetime apart, no endpoint has come and gone.
-func (s *State) noteGap(now, lastConfirmed boottime.Instant) {
-	if now.Sub(lastConfirmed) <= minEntryLifetime {
+// noteGap records that an update of the copy may hide versions. Between two copies that are less than minEntryLifetime apart, no endpoint
+// has come and gone.
+func (s *State) noteGap(now, lastConfirmed boottime.Instant, u published.Update) {
+	if lastConfirmed == 0 || now.Sub(lastConfirmed) <= minEntryLifetime || !s.mayHideVersions(u) {
 		return
 	}
 	s.origins.knownSince = now
@@ -75,6 +76,16 @@
 	}
 }
 
+// mayHideVersions reports whether endpoints may have come and gone unseen before an update: it is not based on the former copy, or has
+// the deletion of an endpoint that is not known.
+func (s *State) mayHideVersions(u published.Update) bool {
+	return u.Snapshot || slices.ContainsFunc(u.Items, func(it published.Item) bool {
+		record, err := s.opts.Protocol.DecodeItem(it)
+		gone, ok := record.(published.EndpointGone)
+		return ok && err == nil && s.endpoints[gone.ID] == nil
+	})
+}
+
 // soleVersion returns the only version that endpoints of a service have had for as long as a stream may last, as far as this
 // process knows, or 0.
 func (s *State) soleVersion(now boottime.Instant, service fleet.ServiceID) origin.Version {
