control: records are proven by a read of the store only once it is applied

Found while reading the diff: a read was noted as a confirmation, which proved waiting records, before its changes were applied; the entry of another incarnation in the same read came too late.

--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -60,7 +60,6 @@
 	s.noteStoreResponse(now, at)
 	if at > s.freshness.confirmedAt {
 		s.freshness.confirmedBefore, s.freshness.confirmedAt = s.freshness.confirmedAt, at
-		s.proveRecords(now)
 	}
 }
 
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -173,6 +173,7 @@
 		s.noteFullSnapshot(now)
 	}
 	s.send(s.mesh.Broadcast(now, s.localStatus(now), s.mirror.Revision() != before))
+	s.proveRecords(now)
 	s.settleInquiries(now)
 }
 
