--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -24,33 +23,6 @@
 	versionGoneRetryAfter = 2 * time.Second
 )
 
-// Attempt is one attempt of a request at an endpoint. It counts as in flight there until
-// AttemptEnded.
-type Attempt struct {
-	Endpoint            fleet.EndpointID
-	Addr                string
-	Version             fleet.SoftwareVersion // of the endpoint, as published
-	CacheSourceAddr     string                // address of an endpoint that may have more of the prompt cached; "" for none
-	Load                int                   // the fleet's requests at the endpoint, including this one
-	MeanLoad            float64               // mean load of the eligible endpoints, before this request
-	EligibleCount       int                   // number of eligible endpoints
-	ConfirmIncarnation  bool                  // send the request only after the endpoint has reported Incarnation on the same connection
-	Incarnation         fleet.Incarnation     // of the endpoint, as published
-	Request             crasher.Fingerprint   // of the request's content, 0: not known
-	Shares              crasher.Shares        // what the request may have in common with others
-	Suspected           bool                  // the request is suspected of crashing endpoints
-	SuspectedProgress   uint64                // number of the stream's event beyond which the request is cleared, see RequestProgressed
-	EndpointUnreachable <-chan struct{}       // closed when a connection attempt to the endpoint times out
-
-	version             origin.Version
-	entryCertain        bool
-	sentAt              boottime.Instant
-	lastEvent           atomic.Int64  // boottime.Instant of the last event of its stream; 0: none
-	events              atomic.Uint32 // of its stream
-	endpoint            *endpoint
-	endpointUnreachable chan struct{}
-}
-
 // Placement is the result of Place: an attempt, or the reason why there is none.
 type Placement struct {
 	Reason     Reason
@@ -141,9 +113,7 @@
 	e.inFlight++
 	e.coldStart.recordSend(now)
 	s.peerLoads.statusVersion++
-	attempt := &Attempt{Endpoint: e.ID, Addr: e.Addr, Version: e.Version, Load: s.load(now, e), MeanLoad: c.meanLoad(), EligibleCount: len(c.eligible),
-		Request: req.Request, Shares: req.Shares, version: e.version, entryCertain: s.entryCertain(e), Incarnation: e.Incarnation, ConfirmIncarnation: req.Version != 0 && e.Incarnation != 0, sentAt: now, endpoint: e, endpointUnreachable: make(chan struct{})}
-	attempt.EndpointUnreachable = attempt.endpointUnreachable
+	attempt := s.newAttempt(now, req, e, &c)
 	s.noteSuspicion(now, attempt)
 	s.crashes.detector.TraitsSent(now, req.Shares)
 	attempt.CacheSourceAddr = s.cacheSource(now, req.Affinity, e)
--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -6,7 +6,6 @@
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/mesh"
-	"github.com/dandelionvane/dandelionvane/internal/published"
 	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
 	"github.com/dandelionvane/dandelionvane/internal/wire"
 )
@@ -202,54 +201,6 @@
 
 func (w *World) node(id fleet.InstanceID) *Node { return w.nodesByID[id] }
 
-// read simulates a store read. The response is the store's content when the request arrived.
-func (n *Node) read(action control.ReadStore) {
-	w, process := n.World, n.incarnation
-	n.Reads++
-	sent := w.Now()
-	finish := func(d time.Duration, f func()) {
-		w.After(d, func() {
-			if n.incarnation == process {
-				n.run(f)
-			}
-		})
-	}
-	if w.partitioned(string(n.ID), StoreName) {
-		finish(storeTimeout, func() { n.State.ReadFailed(w.Now(), errStoreTimeout) })
-		return
-	}
-	if n.StoreRejects {
-		finish(storeLatency, func() { n.State.ReadFailed(w.Now(), errStoreBusy) })
-		return
-	}
-	w.After(storeLatency/2, func() {
-		if !action.Snapshot && published.EraOf(action.After) != w.Store.Era() {
-			finish(storeLatency/2, func() { n.State.ReadFailed(w.Now(), published.ErrHistoryGone) })
-			return
-		}
-		u := w.Store.Update(action.Snapshot, action.After)
-		u.Confirmed = sent
-		finish(storeLatency/2, func() { n.State.ReadDone(w.Now(), u) })
-	})
-}
-
-// readHistory simulates a read of the store's history.
-func (n *Node) readHistory() {
-	w, process, wall := n.World, n.incarnation, n.World.Wall()
-	n.Reads++
-	w.After(storeLatency, func() {
-		if n.incarnation != process {
-			return
-		}
-		var err error
-		if w.partitioned(string(n.ID), StoreName) || n.StoreRejects {
-			err = errStoreBusy
-		}
-		h := w.history()
-		n.run(func() { n.State.HistoryRead(w.Now(), wall, h, err) })
-	})
-}
-
 // querySeeds simulates queries to the seeds that run: to all of them, or to a random one.
 func (n *Node) querySeeds(query control.QuerySeeds) {
 	w := n.World
--- a/internal/controltest/store.go
+++ b/internal/controltest/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/published"
 	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
@@ -60,3 +61,51 @@
 
 // DropHistory discards the writes that the store has kept.
 func (w *World) DropHistory() { w.historyDropped = w.Store.Update(true, 0).Revision }
+
+// read simulates a store read. The response is the store's content when the request arrived.
+func (n *Node) read(action control.ReadStore) {
+	w, process := n.World, n.incarnation
+	n.Reads++
+	sent := w.Now()
+	finish := func(d time.Duration, f func()) {
+		w.After(d, func() {
+			if n.incarnation == process {
+				n.run(f)
+			}
+		})
+	}
+	if w.partitioned(string(n.ID), StoreName) {
+		finish(storeTimeout, func() { n.State.ReadFailed(w.Now(), errStoreTimeout) })
+		return
+	}
+	if n.StoreRejects {
+		finish(storeLatency, func() { n.State.ReadFailed(w.Now(), errStoreBusy) })
+		return
+	}
+	w.After(storeLatency/2, func() {
+		if !action.Snapshot && published.EraOf(action.After) != w.Store.Era() {
+			finish(storeLatency/2, func() { n.State.ReadFailed(w.Now(), published.ErrHistoryGone) })
+			return
+		}
+		u := w.Store.Update(action.Snapshot, action.After)
+		u.Confirmed = sent
+		finish(storeLatency/2, func() { n.State.ReadDone(w.Now(), u) })
+	})
+}
+
+// readHistory simulates a read of the store's history.
+func (n *Node) readHistory() {
+	w, process, wall := n.World, n.incarnation, n.World.Wall()
+	n.Reads++
+	w.After(storeLatency, func() {
+		if n.incarnation != process {
+			return
+		}
+		var err error
+		if w.partitioned(string(n.ID), StoreName) || n.StoreRejects {
+			err = errStoreBusy
+		}
+		h := w.history()
+		n.run(func() { n.State.HistoryRead(w.Now(), wall, h, err) })
+	})
+}
