control, published: deletions between the pages of a list count as writes of the history; a test of reading the history

A list of several pages is followed by the changes since its first page. A deletion among these was taken for a known write even if the endpoint's version was not. By reading; no site here has a list of several pages. TestHistoryOfTheStore is new, for code of this issue.

--- a/internal/control/versionhistory.go
+++ b/internal/control/versionhistory.go
@@ -134,8 +134,12 @@
 	w.known[it.Revision] = true
 }
 
-// addPresent adds the present item of a key.
+// addPresent adds the present item of a key, or its deletion while the pages of the list were read.
 func (w *writtenVersions) addPresent(it published.Item) {
+	if it.Deleted {
+		w.addWrite(it)
+		return
+	}
 	record, err := w.protocol.DecodeItem(it)
 	switch r := record.(type) {
 	case published.Endpoint:
--- a/internal/published/client_test.go
+++ b/internal/published/client_test.go
@@ -56,6 +56,37 @@
 	}
 }
 
+// TestHistoryOfTheStore checks that all writes are read that the store has kept, with the revisions at which their keys were created,
+// wherever its history begins.
+func TestHistoryOfTheStore(t *testing.T) {
+	for dropped := range 8 {
+		t.Run(fmt.Sprintf("%d writes dropped", dropped), func(t *testing.T) {
+			store, c := start(t)
+			var last fleet.Revision
+			for n := range 8 {
+				if n == dropped {
+					store.DropHistory()
+				}
+				last = store.Write(publishedtest.Endpoint(endpoint(n%3), n))
+			}
+			h, err := c.History(t.Context())
+			if err != nil || published.StoreRevision(h.Revision) != last || len(h.Present) != 3 || len(h.Writes) != 8-dropped {
+				t.Fatalf("revision %d, %d items, %d writes, %v; want revision %d, 3 items, %d writes", h.Revision, len(h.Present), len(h.Writes), err, last, 8-dropped)
+			}
+			for i, it := range h.Writes {
+				if want := last - fleet.Revision(len(h.Writes)-1-i); it.Revision != want {
+					t.Errorf("write %d has revision %d, want %d", i, it.Revision, want)
+				}
+			}
+			for _, it := range h.Present {
+				if it.Created == 0 || it.Created >= it.Revision {
+					t.Errorf("%s: created at %d, written at %d", it.Key, it.Created, it.Revision)
+				}
+			}
+		})
+	}
+}
+
 func keysOf(u published.Update) string {
 	var keys []string
 	for _, it := range u.Items {
