routing, control: endpoints order requests by the workspace's priority and then by the route's

Cause: nearly all workspaces have one priority, and a workspace's priority replaced the route's in Request-Priority. Change: the priority sent to endpoints is the rank of the pair, the workspace's priority first.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -85,7 +85,7 @@
 	Route       *routing.Route
 	Service     fleet.ServiceID
 	Workspace   fleet.WorkspaceID
-	Priority    int // 0 is the highest
+	Priority    int // of the workspace and the route, see routing.Table.Priority; 0 is the highest
 	Timeout     time.Duration
 	HeaderLimit int            // bytes, 0: none
 	BodyLimit   int64          // bytes, 0: none
@@ -135,7 +135,7 @@
 // authenticate resolves an API key to its workspace and sets the workspace and priority of ad.
 // Public routes are served without a valid key.
 func (s *State) authenticate(now boottime.Instant, key string, ad *Admission) Reason {
-	ad.Priority = ad.Route.Priority
+	ad.Priority = s.table.Priority(nil, ad.Route)
 	if !s.table.HasWorkspaces() || ad.Route.Public && key == "" {
 		return ReasonNone
 	}
@@ -153,9 +153,7 @@
 		return s.denialReason(now, ReasonUnauthenticated)
 	}
 	ad.Workspace = w.ID
-	if w.HasPriority {
-		ad.Priority = w.Priority
-	}
+	ad.Priority = s.table.Priority(w, ad.Route)
 	return ReasonNone
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -14,6 +14,7 @@
 	routesByHost    map[string][]*Route // longest prefix first
 	services        map[fleet.ServiceID]*Service
 	workspacesByKey map[string]*Workspace
+	ranks           priorityRanks
 }
 
 // NewTable returns the index of a config, which must not be modified afterwards.
@@ -41,6 +42,7 @@
 			t.workspacesByKey[k] = w
 		}
 	}
+	t.ranks = rankPriorities(c)
 	return t
 }
 
