control: weigh the endpoints of a request without effects

An explanation of a placement needs the placement's own decision, but classify and choose requested probes, drew random numbers, dropped recorded sends and created retry windows while they decided.

weigh now returns, for each endpoint of the service, what excludes it, its load, its rendezvous weight and its share of a random choice; Place draws the random number, requests the probes and counts the attempt. The requests of peers and the service's only version are passed in. Sends to cold endpoints are dropped when the next one is recorded; they count for coldSendWindow as before.

--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -45,7 +45,7 @@
 		Version:             e.Version,
 		Load:                s.load(now, e),
 		MeanLoad:            c.meanLoad(),
-		EligibleCount:       len(c.eligible),
+		EligibleCount:       c.eligibleCount,
 		ConfirmIncarnation:  req.Version != 0 && e.Incarnation != 0,
 		Incarnation:         e.Incarnation,
 		Request:             req.Request,
--- a/internal/control/budget.go
+++ b/internal/control/budget.go
@@ -57,7 +57,7 @@
 	if denied.Reason != ReasonNone {
 		return denied
 	}
-	if c := s.classify(now, resolved); len(c.eligible) > 0 && !s.AllowRetry(now, req.Service, lastResult) {
+	if s.anyEligible(now, resolved) && !s.AllowRetry(now, req.Service, lastResult) {
 		return Placement{Reason: ReasonRetryBudget}
 	}
 	return s.Place(now, req)
--- a/internal/control/choose.go
+++ b/internal/control/choose.go
@@ -27,43 +27,96 @@
 	localityWeight = 3
 )
 
-// choose picks one of the eligible endpoints. A request with an affinity goes to the endpoint
-// with the highest rendezvous weight for it among those whose load is within the bound
-// (rendezvous hashing with bounded loads). Other requests, and those for which no endpoint is within
-// the bound, are distributed by load.
+// rule is how an endpoint is chosen.
+type rule uint8
+
+const (
+	ruleNone     rule = iota // no endpoint is eligible
+	ruleAffinity             // the best endpoint of the rendezvous order within the load bound
+	ruleRandom               // at random, by shares
+	ruleTrial                // apart from other requests
+)
+
+// String returns the rule's stable name in JSON documents.
+func (r rule) String() string { return [...]string{"none", "affinity", "random", "trial"}[r] }
+
+// weighing is the result of weigh: what there is to choose from, and the choice as far as it is not random.
+type weighing struct {
+	endpointClasses
+	rule   rule
+	bound  float64   // maximum load of an endpoint with this request; 0 unless the request has an affinity
+	chosen *endpoint // nil if the rule is ruleNone or ruleRandom
+}
+
+// weigh weighs the endpoints of a service for one request. It has no effects: it sends nothing, draws no random number and
+// counts nothing. The caller applies the result.
+//
+// A request with an affinity goes to the endpoint with the highest rendezvous weight for it among those whose load is within
+// the bound (rendezvous hashing with bounded loads). Other requests, and those for which no endpoint is within the bound, are
+// distributed by load.
 //
-// It requests probes of the down endpoints that might have been chosen: those with a higher
-// rendezvous weight, or all of them for a request without an affinity.
-func (s *State) choose(now boottime.Instant, req PlacementRequest, c endpointClasses) *endpoint {
-	if req.onTrial {
-		return s.chooseForTrial(now, req.Request, c)
+// Down endpoints that might have been chosen are to be probed: those with a higher rendezvous weight, or all of them for a
+// request without an affinity.
+func (s *State) weigh(now boottime.Instant, req PlacementRequest, in placementInputs) weighing {
+	w := weighing{endpointClasses: s.classify(now, req, in)}
+	switch {
+	case w.eligibleCount == 0:
+		w.markProbes(0)
+	case req.onTrial:
+		w.rule, w.chosen = ruleTrial, s.chooseForTrial(now, req.Request, &w.endpointClasses)
+	case req.Affinity == 0:
+		w.markProbes(0)
+		s.weighRandom(now, req.Service, &w)
+	default:
+		s.weighByAffinity(now, req, &w)
+	}
+	return w
+}
+
+// markProbes marks the down endpoints whose weight is at least atLeast.
+func (w *weighing) markProbes(atLeast uint64) {
+	for i := range w.candidates {
+		if x := &w.candidates[i]; x.excluded == ExcludedDown && x.weight >= atLeast {
+			x.probe = true
+		}
 	}
-	if req.Affinity == 0 {
-		for _, e := range c.down {
-			e.probeRequested = true
+}
+
+// requestProbes requests the probes of the marked endpoints.
+func (w *weighing) requestProbes() {
+	for i := range w.candidates {
+		if x := &w.candidates[i]; x.probe {
+			x.probeRequested = true
 		}
-		return s.chooseByWaterFilling(now, req.Service, c)
 	}
-	bound := s.loadBound(&c)
-	var best *endpoint
+}
+
+// weighByAffinity chooses by rendezvous hashing with bounded loads, or prepares a random choice if no endpoint is within the
+// bound.
+func (s *State) weighByAffinity(now boottime.Instant, req PlacementRequest, w *weighing) {
+	w.bound = s.loadBound(&w.endpointClasses)
 	var bestWeight uint64
-	for _, e := range c.eligible {
-		if float64(e.load+s.unreportedLoad(now, e.endpoint)+1) > bound {
+	for i := range w.candidates {
+		x := &w.candidates[i]
+		x.weight = fleet.Weight(req.Affinity, x.hash)
+		if x.excluded != NotExcluded {
 			continue
 		}
-		if weight := fleet.Weight(req.Affinity, e.hash); best == nil || weight > bestWeight {
-			best, bestWeight = e.endpoint, weight
+		x.unreported = s.unreportedLoad(now, x.endpoint)
+		if float64(x.load+x.unreported+1) > w.bound {
+			x.excluded = ExcludedBound
+			continue
 		}
-	}
-	for _, e := range c.down {
-		if fleet.Weight(req.Affinity, e.hash) > bestWeight {
-			e.probeRequested = true
+		if w.chosen == nil || x.weight > bestWeight {
+			w.chosen, bestWeight = x.endpoint, x.weight
 		}
 	}
-	if best == nil {
-		return s.chooseByWaterFilling(now, req.Service, c)
+	w.markProbes(bestWeight + 1)
+	if w.chosen == nil {
+		s.weighRandom(now, req.Service, w)
+		return
 	}
-	return best
+	w.rule = ruleAffinity
 }
 
 // loadBound returns the maximum load of an endpoint, including the request to be placed. It is the
@@ -74,12 +127,12 @@
 //
 // The factors are below 1 to leave room for requests of peers that are not reported yet.
 func (s *State) loadBound(c *endpointClasses) float64 {
-	eligibleMean := float64(c.eligibleLoad+1) / float64(len(c.eligible))
+	eligibleMean := float64(c.eligibleLoad+1) / float64(c.eligibleCount)
 	listedMean := float64(c.listedLoad+1) / float64(max(c.listedCount, 1))
 	return min(eligibleLoadFactor*s.opts.LoadMultiple*eligibleMean+eligibleLoadSlack, listedLoadFactor*(s.opts.LoadMultiple*listedMean+listedLoadSlack))
 }
 
-// chooseByWaterFilling picks an endpoint at random so that all gateways together balance the loads.
+// weighRandom sets the shares of a random choice, by which all gateways together balance the loads.
 // Load reports are delayed: if every gateway chose the endpoint with the least reported load, all
 // would choose the same one until the next report.
 //
@@ -87,26 +140,54 @@
 // water-filling, and an endpoint is chosen with a probability proportional to its share. The shares
 // of endpoints in the gateway's own data centre are multiplied by localityWeight to save network
 // hops. Gateways in all data centres do so, so that the total loads stay balanced.
-func (s *State) chooseByWaterFilling(now boottime.Instant, service fleet.ServiceID, c endpointClasses) *endpoint {
-	loads := make([]float64, len(c.eligible))
-	for i, e := range c.eligible {
-		loads[i] = float64(e.load + s.unreportedLoad(now, e.endpoint))
+func (s *State) weighRandom(now boottime.Instant, service fleet.ServiceID, w *weighing) {
+	w.rule = ruleRandom
+	loads := make([]float64, 0, w.eligibleCount)
+	for i := range w.candidates {
+		if x := &w.candidates[i]; x.eligible() {
+			x.unreported = s.unreportedLoad(now, x.endpoint)
+			loads = append(loads, float64(x.load+x.unreported))
+		}
 	}
 	shares := waterFill(loads, 1+s.expectedArrivals(now, service))
+	for i := range w.candidates {
+		x := &w.candidates[i]
+		if !x.eligible() {
+			continue
+		}
+		x.share, shares = shares[0], shares[1:]
+		if x.DataCentre == s.opts.Self.DataCentre {
+			x.share *= localityWeight
+		}
+	}
+}
+
+// totalShare returns the sum of the shares.
+func (w *weighing) totalShare() float64 {
 	total := 0.0
-	for i, e := range c.eligible {
-		if e.DataCentre == s.opts.Self.DataCentre {
-			shares[i] *= localityWeight
+	for i := range w.candidates {
+		if w.candidates[i].eligible() {
+			total += w.candidates[i].share
 		}
-		total += shares[i]
 	}
-	x := s.rng.Float64() * total
-	for i, share := range shares {
-		if x -= share; x < 0 {
-			return c.eligible[i].endpoint
+	return total
+}
+
+// pick returns the endpoint of a random choice for a random number from 0 to 1.
+func (w *weighing) pick(random float64) *endpoint {
+	x := random * w.totalShare()
+	var last *endpoint
+	for i := range w.candidates {
+		c := &w.candidates[i]
+		if !c.eligible() {
+			continue
+		}
+		if last = c.endpoint; x < c.share {
+			return last
 		}
+		x -= c.share
 	}
-	return c.eligible[len(c.eligible)-1].endpoint
+	return last
 }
 
 // cacheSource returns the address of an endpoint of the same version that is likely to hold cached prefixes of a
--- a/internal/control/cold.go
+++ b/internal/control/cold.go
@@ -43,8 +43,17 @@
 	if !now.Before(e.coldStart.until) {
 		return true
 	}
-	e.coldStart.dropOldSends(now)
-	return len(e.coldStart.recentSends) < s.coldSendLimit(e)
+	return e.coldStart.sendsInWindow(now) < s.coldSendLimit(e)
+}
+
+// sendsInWindow returns the number of sends within the last coldSendWindow.
+func (c *coldStart) sendsInWindow(now boottime.Instant) int {
+	for i, at := range c.recentSends {
+		if now.Sub(at) < coldSendWindow {
+			return len(c.recentSends) - i
+		}
+	}
+	return 0
 }
 
 func (c *coldStart) dropOldSends(now boottime.Instant) {
--- a/internal/control/crashes.go
+++ b/internal/control/crashes.go
@@ -138,25 +138,26 @@
 
 // chooseForTrial picks an endpoint for an attempt on trial. Requests that the same end broke off are kept apart: gateways agree
 // on the order of the endpoints for them. A request without such others goes where few requests run.
-func (s *State) chooseForTrial(now boottime.Instant, f crasher.Fingerprint, c endpointClasses) *endpoint {
+func (s *State) chooseForTrial(now boottime.Instant, f crasher.Fingerprint, c *endpointClasses) *endpoint {
 	rank, count, last := s.crashes.detector.TrialRank(now, f)
 	if count <= 1 {
 		return s.chooseIdle(now, f, c)
 	}
 	key := fleet.Weight(uint64(last.Endpoint), uint64(last.Incarnation))
-	slices.SortFunc(c.eligible, func(a, b eligibleEndpoint) int {
+	candidates := c.eligible()
+	slices.SortFunc(candidates, func(a, b *candidate) int {
 		return cmp.Compare(fleet.Weight(key, b.hash), fleet.Weight(key, a.hash))
 	})
-	return c.eligible[rank%len(c.eligible)].endpoint
+	return candidates[rank%len(candidates)].endpoint
 }
 
 // chooseIdle picks an endpoint without an attempt on trial, as far as there is one, of those with at most the median load, by
 // rendezvous hashing over the request.
-func (s *State) chooseIdle(now boottime.Instant, f crasher.Fingerprint, c endpointClasses) *endpoint {
+func (s *State) chooseIdle(now boottime.Instant, f crasher.Fingerprint, c *endpointClasses) *endpoint {
 	onTrial := s.crashes.detector.TrialEndpoints(now)
-	candidates := slices.DeleteFunc(slices.Clone(c.eligible), func(e eligibleEndpoint) bool { return onTrial[e.shortID()] })
+	candidates := slices.DeleteFunc(c.eligible(), func(e *candidate) bool { return onTrial[e.shortID()] })
 	if len(candidates) == 0 {
-		candidates = c.eligible
+		candidates = c.eligible()
 	}
 	loads := make([]int, len(candidates))
 	for i, e := range candidates {
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -41,11 +41,22 @@
 // load returns the estimated number of the fleet's requests at an endpoint: the sum of the
 // gateways' counts, or the endpoint's own recent report if that is higher.
 func (s *State) load(now boottime.Instant, e *endpoint) int {
+	return e.loadAt(now, s.peerCounts(now))
+}
+
+// peerCounts returns the requests of all live peers, by the endpoint's short ID. The sums are kept until the next Status of a
+// peer arrives.
+func (s *State) peerCounts(now boottime.Instant) map[uint32]int {
 	if s.peerLoads.stale || s.peerLoads.byEndpoint == nil {
 		s.peerLoads.byEndpoint = s.mesh.InFlight(now)
 		s.peerLoads.stale = false
 	}
-	counted := e.inFlight + s.peerLoads.byEndpoint[e.shortID()]
+	return s.peerLoads.byEndpoint
+}
+
+// loadAt is State.load with the requests of the peers.
+func (e *endpoint) loadAt(now boottime.Instant, peerCounts map[uint32]int) int {
+	counted := e.inFlight + peerCounts[e.shortID()]
 	if now.Sub(e.reported.at) <= loadReportTTL {
 		return max(counted, e.reported.Running+e.reported.Waiting)
 	}
@@ -73,7 +84,10 @@
 // the mean age of the peers' counts. It assumes that each gateway
 // receives as many as this process.
 func (s *State) expectedArrivals(now boottime.Instant, service fleet.ServiceID) float64 {
-	requests, _ := s.retryWindow(service).Counts(now)
+	requests := 0
+	if w := s.retryWindows[service]; w != nil {
+		requests, _ = w.Counts(now)
+	}
 	perSecond := float64(requests*s.fleetSize()) / s.opts.RetryWindow.Seconds()
 	return perSecond * s.mesh.LoadAge().Seconds()
 }
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -94,26 +94,24 @@
 	if denied.Reason != ReasonNone {
 		return denied
 	}
-	c := s.classify(now, req)
-	if len(c.eligible) == 0 {
-		p := c.rejection()
-		if req.Version != 0 && !s.offersVersion(now, req.Service, req.Version) {
-			p = Placement{Reason: ReasonVersionGone, RetryAfter: versionGoneRetryAfter}
-		}
+	w := s.weigh(now, req, s.inputs(now, req))
+	w.requestProbes()
+	if w.eligibleCount == 0 {
+		p := s.rejection(now, req, &w.endpointClasses)
 		p.RetryAfter = s.jitterRetryAfter(p.RetryAfter)
-		for _, e := range c.down {
-			e.probeRequested = true
-		}
 		return p
 	}
-	e := s.choose(now, req, c)
+	e := w.chosen
+	if w.rule == ruleRandom {
+		e = w.pick(s.rng.Float64())
+	}
 	if req.onTrial {
 		s.beginTrial(now, req.Request, e)
 	}
 	e.inFlight++
 	e.coldStart.recordSend(now)
 	s.peerLoads.statusVersion++
-	attempt := s.newAttempt(now, req, e, &c)
+	attempt := s.newAttempt(now, req, e, &w.endpointClasses)
 	s.noteSuspicion(now, attempt)
 	s.crashes.detector.TraitsSent(now, req.Shares)
 	attempt.CacheSourceAddr = s.cacheSource(now, req.Affinity, e)
@@ -121,106 +119,13 @@
 	return Placement{Attempt: attempt}
 }
 
-// endpointClasses is the classification of a service's endpoints for one request.
-type endpointClasses struct {
-	eligible     []eligibleEndpoint // may receive the request now
-	eligibleLoad int                // sum of their loads
-	listedCount  int                // listed endpoints of the service, in any state
-	listedLoad   int                // sum of the loads of the listed endpoints
-	down         []*endpoint        // usable and not tried, but down
-	triedCount   int                // usable endpoints that already had an attempt
-	pause        time.Duration      // until the first of those that want no requests for a time wants some; 0: there is none
-}
-
-// eligibleEndpoint is an eligible endpoint with its estimated load.
-type eligibleEndpoint struct {
-	*endpoint
-	load int
-}
-
-func (c *endpointClasses) meanLoad() float64 {
-	return float64(c.eligibleLoad) / float64(max(len(c.eligible), 1))
-}
-
-// rejection returns the Placement for a request without an eligible endpoint, with the mean retry-after.
-func (c *endpointClasses) rejection() Placement {
-	after := noneEligibleRetryAfter
-	if len(c.down) > 0 && c.triedCount == 0 {
-		after = downRetryAfter
-	}
-	return Placement{Reason: ReasonNoEndpoint, RetryAfter: max(after, c.commonPause())}
-}
-
-// commonPause returns a retry-after for the time in which all endpoints want no requests, or 0 if some may want
-// one now.
-func (c *endpointClasses) commonPause() time.Duration {
-	if len(c.eligible) > 0 || len(c.down) > 0 {
-		return 0
-	}
-	return c.pause * 4 / 3 // the jitter takes up to a quarter off
-}
-
 // RetryAfter returns when a caller may come back whose request was refused although its endpoints were tried: d, or
 // later if all endpoints want no requests for longer.
 func (s *State) RetryAfter(now boottime.Instant, req PlacementRequest, d time.Duration) time.Duration {
 	req.Tried = nil
-	c := s.classify(now, req)
+	c := s.classify(now, req, s.inputs(now, req))
 	if pause := c.commonPause(); pause > d {
 		return s.jitterRetryAfter(pause)
 	}
 	return d
 }
-
-// shorter returns the shorter of two durations, where 0 stands for none.
-func shorter(a, b time.Duration) time.Duration {
-	if a == 0 || b < a {
-		return b
-	}
-	return a
-}
-
-// classify classifies the endpoints of a service for one request. Endpoints that are avoided for recent
-// failures or refusals are eligible only if there are no others. A request that needs a version is sent only after the endpoint
-// has reported its incarnation. Endpoints that cannot, and may have been restarted, are eligible like those that are avoided if the
-// service has one version, and not eligible otherwise.
-func (s *State) classify(now boottime.Instant, req PlacementRequest) endpointClasses {
-	var c endpointClasses
-	var avoided []eligibleEndpoint
-	oneVersion := req.Version != 0 && s.soleVersion(now, req.Service) == req.Version
-	for _, e := range s.services[req.Service] {
-		load := s.load(now, e)
-		if e.listed {
-			c.listedCount++
-			c.listedLoad += load
-		}
-		switch {
-		case !s.usable(now, e):
-		case req.Version != 0 && (e.version != req.Version || e.replaced(now)):
-		case len(req.Among) > 0 && !slices.Contains(req.Among, e.ID):
-		case slices.Contains(req.avoid, e.software()):
-		case now.Before(e.noRequestsUntil):
-			c.pause = shorter(c.pause, e.noRequestsUntil.Sub(now))
-		case slices.Contains(req.Tried, e.ID):
-			c.triedCount++
-		case e.health.down:
-			c.down = append(c.down, e)
-		case !s.admitsColdSend(now, e):
-		case req.maxSilence != 0 && e.silentFor(now, req.maxSilence):
-		case req.Version != 0 && e.Incarnation == 0 && !s.entryCertain(e):
-			if oneVersion {
-				avoided = append(avoided, eligibleEndpoint{e, load})
-			}
-		case now.Before(e.health.avoidUntil):
-			avoided = append(avoided, eligibleEndpoint{e, load})
-		default:
-			c.eligible = append(c.eligible, eligibleEndpoint{e, load})
-		}
-	}
-	if len(c.eligible) == 0 {
-		c.eligible = avoided
-	}
-	for _, e := range c.eligible {
-		c.eligibleLoad += e.load
-	}
-	return c
-}
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -37,7 +37,7 @@
 		a.Retry.maxSilence = a.HangTimeout / 2
 	}
 	resolved := s.atStreamVersion(now, a.Retry)
-	if result == 0 || resolved.streamUnknown() || len(s.classify(now, resolved).eligible) == 0 {
+	if result == 0 || resolved.streamUnknown() || !s.anyEligible(now, resolved) {
 		return nil
 	}
 	p := s.PlaceRetry(now, a.Retry, result)
