contention: admission under contention, first version

Change: control loop for the admitted share, order of requests, max-min shares of workspaces, deadline check and Retry-After.

--- /dev/null
+++ b/internal/contention/admit.go
@@ -0,0 +1,168 @@
+package contention
+
+import (
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+)
+
+// Reason is why a request is rejected.
+type Reason uint8
+
+// Reasons for a rejection.
+const (
+	ReasonNone     Reason = iota
+	ReasonShare           // the workspace is above its share
+	ReasonOrder           // more urgent requests take the room
+	ReasonDeadline        // the request would start after its deadline or its caller's patience
+)
+
+// String returns the reason's stable name in logs and metrics.
+func (r Reason) String() string {
+	switch r {
+	case ReasonNone:
+		return "none"
+	case ReasonShare:
+		return "share"
+	case ReasonOrder:
+		return "order"
+	case ReasonDeadline:
+		return "deadline"
+	default:
+		return "invalid"
+	}
+}
+
+// Request holds the properties of a request that Admit evaluates.
+type Request struct {
+	WorkspacePriority    int // 0 is the most urgent
+	RoutePriority        int // 0 is the most urgent
+	HasWorkspacePriority bool
+	Workspace            uint32        // low 32 bits of the hash of the workspace's ID
+	TimeLeft             time.Duration // until the deadline; 0: there is none
+	UsualTimeLimit       time.Duration // that the caller gives a first request; 0: not known
+	Goal                 time.Duration // for the first event
+	PauseGoal            time.Duration // between events; 0: not a stream
+}
+
+// Decision is the result of Admit.
+type Decision struct {
+	Admitted   bool
+	RetryAfter time.Duration // of a rejection
+	Rank       int           // position among 1,000 recent requests of this gateway, 0 first; 0 without contention
+	Reason     Reason        // of a rejection
+}
+
+// rankScale is the number of requests to which ranks are scaled.
+const rankScale = 1000
+
+// Admit counts a request and decides whether it is admitted.
+func (c *Controller) Admit(now boottime.Instant, r Request) Decision {
+	c.sample.sequence++
+	o := observed{at: now, workspace: r.Workspace, variate: variate(c.seed, c.sample.sequence), admitted: true}
+	if !c.contended(now) {
+		o.key = c.key(&r, false)
+		c.sample.push(o)
+		return Decision{Admitted: true}
+	}
+	c.sample.expire(now, &c.opts)
+	o.preferred = c.mayPrefer(&r)
+	o.key = c.markShare(c.key(&r, o.preferred), o.workspace, o.variate)
+	before, same, notLater := 0, 0, 0
+	for i := range c.sample.len {
+		k := c.sample.at(i).key
+		if k < o.key {
+			before++
+		} else if k == o.key {
+			same++
+		}
+		if k>>levelShift <= o.key>>levelShift {
+			notLater++
+		}
+	}
+	total := max(c.sample.len+1, c.opts.MinSample)
+	missing := total - c.sample.len // the request itself and, in a small sample, its assumed equals
+	same += missing
+	d := Decision{Rank: min(before*rankScale/total, rankScale-1)}
+	if c.startsTooLate(&r, float64(notLater+missing)/float64(total)) {
+		d.Reason, d.RetryAfter = ReasonDeadline, c.retryAfter(now, &r)
+		return d
+	}
+	chance := (c.loop.share*float64(total) - float64(before)) / float64(same)
+	chance = max(chance, c.opts.MinShare)
+	d.Admitted = chance >= 1 || c.rng.Float64() < chance
+	if !d.Admitted {
+		d.Reason, d.RetryAfter = ReasonOrder, c.retryAfter(now, &r)
+		if o.key&aboveBit != 0 {
+			d.Reason = ReasonShare
+		}
+	}
+	o.admitted = d.Admitted
+	c.sample.push(o)
+	return d
+}
+
+// key returns the position of a request in the order, without regard to its workspace's share.
+func (c *Controller) key(r *Request, preferred bool) uint32 {
+	key := level(r) << levelShift
+	left := r.TimeLeft
+	if !preferred {
+		key |= newBit
+		// A returning caller has less time left than a new one. Beyond its bounded precedence
+		// it is ordered by the limit of its first request, or the order by time left would prefer it.
+		if c.returning(r) {
+			left = r.UsualTimeLimit
+		}
+	}
+	if left == 0 {
+		return key | maxTime
+	}
+	steps := max(left+c.opts.TimeStep/2, 0) / c.opts.TimeStep
+	return key | uint32(min(steps, maxTime))
+}
+
+func (c *Controller) returning(r *Request) bool {
+	return r.TimeLeft != 0 && float64(r.TimeLeft) < c.opts.ReturningBelow*float64(r.UsualTimeLimit)
+}
+
+// mayPrefer reports whether a request comes from a returning caller that precedes new ones: those that did are less than the
+// allowed part of the recently admitted requests of their level.
+func (c *Controller) mayPrefer(r *Request) bool {
+	if !c.returning(r) {
+		return false
+	}
+	admitted, preferred := 0, 0
+	for i := range c.sample.len {
+		if o := c.sample.at(i); o.admitted && o.key>>levelShift == level(r) {
+			admitted++
+			if o.preferred {
+				preferred++
+			}
+		}
+	}
+	return float64(preferred+1) <= c.opts.ReturningFraction*float64(admitted+1)
+}
+
+// startsTooLate reports whether a request would start after its deadline or its caller's patience.
+// Endpoints serve urgent requests first, so only the given part of the queues, that of the
+// requests that are not less urgent, is before it.
+func (c *Controller) startsTooLate(r *Request, part float64) bool {
+	wait := time.Duration(max(c.loop.utilization-1, 0) * part * float64(c.loop.hold))
+	patience := max(c.opts.MinPatience, time.Duration(c.opts.PatiencePer)*r.Goal, time.Duration(c.opts.PatiencePause)*r.PauseGoal)
+	return wait > patience || r.TimeLeft != 0 && wait > r.TimeLeft
+}
+
+// retryAfter returns the time in which the excess that has been turned away drains, with jitter.
+// The jitter stays between the bounds, since a value that many callers are cut to would bring
+// them back at the same time.
+func (c *Controller) retryAfter(now boottime.Instant, r *Request) time.Duration {
+	mean := (1/c.loop.share - 1) * float64(now.Sub(c.loop.since))
+	mean = min(max(mean, float64(c.opts.MinRetryAfter)), float64(c.opts.MaxRetryAfter))
+	low := max(mean/2, float64(c.opts.MinRetryAfter))
+	high := min(mean*3/2, float64(c.opts.MaxRetryAfter))
+	after := low + c.rng.Float64()*(high-low)
+	if r.TimeLeft != 0 {
+		after = min(after, c.opts.RetryTimeShare*float64(max(r.TimeLeft, 0)))
+	}
+	return time.Duration(after)
+}
--- /dev/null
+++ b/internal/contention/options.go
@@ -0,0 +1,87 @@
+package contention
+
+import "time"
+
+// Options are the constants of a Controller.
+type Options struct {
+	// Control loop.
+
+	WaitFraction   float64       // of the shortest latency goal: the wait in endpoint queues that callers do not notice
+	MaxUtilization float64       // a higher value cannot come from bounded endpoint queues and counts as missing
+	UpdateTimeout  time.Duration // without an Update for this long the utilization counts as missing
+	UnknownHold    time.Duration // stands for the service time in the loop's model while it is unknown
+	MinHold        time.Duration // lower bound of the service time
+	MaxHold        time.Duration // upper bound of the service time
+	MinDelay       time.Duration // lower bound of the age of a utilization
+	MaxDelay       time.Duration // upper bound of the age of a utilization
+	MinSlope       time.Duration // shortest interval over which the change of the utilization is measured
+	MaxSlope       time.Duration // longest such interval
+	DrainTime      time.Duration // in which the proportional term removes an excess wait; about three times the usual delay, for stability
+	MaxRaise       float64       // limit of the proportional term while the utilization is below its target
+	DemandTime     time.Duration // time constant with which the estimated demand follows its bounds
+	IntegralRate   float64       // 1/s: growth of the estimated demand while the utilization stays at twice its target
+	LeakRate       float64       // 1/s: return of the estimated demand to 1, by which gateways of different history agree again
+	MaxDemand      float64       // upper bound of the estimated demand, in multiples of the capacity
+	MinShare       float64       // admitted share of every priority: no priority starves
+	EndAfter       time.Duration // contention ends when the admitted share has been 1 for this long
+
+	// Order.
+
+	Window            time.Duration // age of the gateway's requests that a request is ranked among
+	MinSample         int           // of requests; missing ones count as equals of the request
+	MaxSampleAge      time.Duration // age up to which requests complete a sample that is below MinSample
+	TimeStep          time.Duration // resolution of the order by time left
+	ReturningBelow    float64       // of the usual time limit: a caller with less time left has returned
+	ReturningFraction float64       // of what is admitted at a priority: limit of the precedence of returning callers
+	WorkspacesTTL     time.Duration // age up to which the workspaces' loads are used
+	MaxWorkspaces     int           // workspaces whose loads are used, the largest first
+
+	// Rejections.
+
+	MinPatience    time.Duration // callers wait at least this long for the first event
+	PatiencePer    int           // and this many latency goals
+	PatiencePause  int           // and this many goals for pauses
+	MinRetryAfter  time.Duration // lower bound, unless the time left demands less
+	MaxRetryAfter  time.Duration // upper bound
+	RetryTimeShare float64       // of the time left: the most that a caller waits before it returns
+}
+
+// DefaultOptions returns the options for production gateways.
+func DefaultOptions() Options {
+	return Options{
+		WaitFraction:   0.25,
+		MaxUtilization: 100,
+		UpdateTimeout:  time.Second,
+		UnknownHold:    500 * time.Millisecond,
+		MinHold:        time.Millisecond,
+		MaxHold:        time.Minute,
+		MinDelay:       50 * time.Millisecond,
+		MaxDelay:       550 * time.Millisecond,
+		MinSlope:       200 * time.Millisecond,
+		MaxSlope:       400 * time.Millisecond,
+		DrainTime:      time.Second,
+		MaxRaise:       0.15,
+		DemandTime:     200 * time.Millisecond,
+		IntegralRate:   1.5,
+		LeakRate:       0.3,
+		MaxDemand:      50,
+		MinShare:       0.05,
+		EndAfter:       time.Second,
+
+		Window:            2 * time.Second,
+		MinSample:         20,
+		MaxSampleAge:      10 * time.Second,
+		TimeStep:          100 * time.Millisecond,
+		ReturningBelow:    0.75,
+		ReturningFraction: 0.25,
+		WorkspacesTTL:     2 * time.Second,
+		MaxWorkspaces:     16,
+
+		MinPatience:    2 * time.Second,
+		PatiencePer:    4,
+		PatiencePause:  8,
+		MinRetryAfter:  300 * time.Millisecond,
+		MaxRetryAfter:  5 * time.Second,
+		RetryTimeShare: 1.0 / 3,
+	}
+}
