cost: tests; harm within the latency goal, first observations not clipped

The first version added the harm to running streams to the request's own time. In the test with a hot key, the load of the first endpoint (16 slots) then reached 81, because requests queued there to spare streams elsewhere. Harm now decides only among endpoints where the request keeps its latency goal; the largest load in the same test was 43. The averages clip outliers from the ninth observation on: before, an outlier as the first one was kept. The weight of the prior vanishes with the observations.

--- a/internal/cost/average.go
+++ b/internal/cost/average.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// averageWindow is the number of observations over which a robustMean and an outputModel adapt.
+	// averageWindow is the number of observations over which a robustMean adapts.
 	averageWindow = 64
 	// clipDeviations is the number of mean deviations beyond which an observation moves a robustMean
 	// no further.
@@ -30,20 +30,24 @@
 	if a.n == 0 {
 		a.mean, a.deviation = x, 1
 	}
-	if a.n < averageWindow {
-		a.n++
+	if a.n < math.MaxInt32 {
+		a.n++ // beyond averageWindow, so that the weight of the prior vanishes
 	}
-	gain := 1 / float64(a.n)
+	gain := 1 / float64(min(a.n, averageWindow))
 	d := x - a.mean
 	limit := clipDeviations * a.deviation
+	if a.n <= learnedAfter {
+		limit = math.MaxFloat64 // a wrong first observation must not make the right ones outliers
+	}
 	a.mean += gain * min(max(d, -limit), limit)
-	a.deviation += gain * (min(math.Abs(d), maxDeviation) - a.deviation)
+	// The initial deviation counts as one observation.
+	a.deviation += (min(math.Abs(d), maxDeviation) - a.deviation) / float64(min(a.n, averageWindow)+1)
 	a.deviation = max(a.deviation, minDeviation)
 }
 
 // refine moves a mean and deviation from a less specific source towards a's, by a's observations.
 func (a *robustMean) refine(mean, deviation float64) (float64, float64) {
-	w := float64(a.n) / float64(a.n+priorWeight)
+	w := float64(a.n) / (float64(a.n) + priorWeight)
 	return mean + w*(a.mean-mean), deviation + w*(a.deviation-deviation)
 }
 
--- a/internal/cost/choose.go
+++ b/internal/cost/choose.go
@@ -39,10 +39,9 @@
 // the arguments; tie is a random number of the request, which makes gateways with the same reports
 // choose differently.
 //
-// The cost of a candidate is the time to the first event. The harm to running streams is added if the
-// prefill would pause them for longer than the goal: the delay of others then counts as much as the
-// request's own. Starting from the best-ranked candidate, a worse-ranked one is preferred if its cost
-// is lower by more than the margin, unless the request would be late only there.
+// Starting from the best-ranked candidate, a worse-ranked one is preferred if it is faster by more
+// than the margin. If the prefill would pause the streams running at the chosen candidate for longer
+// than their goal, one with less harm is preferred, unless the request would be late there.
 //
 // Without learned times, the result is the best-ranked candidate.
 func Choose(goal Goal, times []Times, ranks []int, tie uint64) int {
@@ -51,75 +50,100 @@
 	if len(times) == 0 {
 		return -1
 	}
-	chosen := chooseAmongFirst(goal, times, ranks, unitInterval(tie, 1))
-	if !times[chosen].Learned {
-		return chosen
-	}
 	if goal.Latency <= 0 {
 		goal.Latency = defaultLatency
 	}
-	margin := time.Duration(marginOfLatency * (1 + marginSpread*unitInterval(tie, 2)) * float64(goal.Latency))
-	for previous, n := chosen, 1; n < consideredRanks; n++ {
-		next := nextByRank(ranks, previous)
-		if next < 0 {
+	margin := time.Duration(marginOfLatency * (1 + marginSpread*unitInterval(tie, 1)) * float64(goal.Latency))
+	considered, n := [consideredRanks]int{chooseAmongFirst(goal, margin, times, ranks, unitInterval(tie, 2))}, 1
+	for ; n < consideredRanks; n++ {
+		if considered[n] = nextByRank(ranks, considered[n-1]); considered[n] < 0 {
 			break
 		}
-		previous = next
-		if times[next].Learned && goal.cost(&times[next]) < goal.cost(&times[chosen])-margin &&
-			times[next].Total <= max(goal.Latency, times[chosen].Total+margin) {
-			chosen = next
+	}
+	chosen := considered[0]
+	for _, i := range considered[1:n] {
+		if times[chosen].Learned && times[i].Learned && times[i].Total+margin < times[chosen].Total {
+			chosen = i
+		}
+	}
+	limit := goal.harmLimit(times[chosen].Total, margin)
+	for _, i := range considered[:n] {
+		harm := goal.harm(&times[chosen])
+		if times[i].Total <= limit && goal.harm(&times[i]) < harm-time.Duration(equalFraction*float64(harm)) {
+			chosen = i
 		}
 	}
 	return chosen
 }
 
-// cost returns what Choose minimises.
-func (g *Goal) cost(t *Times) time.Duration {
-	cost := max(t.Total, 0)
-	if g.EventGap > 0 && t.Pause > g.EventGap {
-		cost += max(t.Harm, 0)
+// harm returns the harm to running streams if their pause is longer than their goal, otherwise 0.
+func (g *Goal) harm(t *Times) time.Duration {
+	if !t.Learned || g.EventGap <= 0 || t.Pause <= g.EventGap {
+		return 0
 	}
-	return cost
+	return max(t.Harm, 0)
+}
+
+// harmLimit returns the longest time to the first event that a request accepts to avoid harm. It
+// stays below the latency goal by the margin, because the times are estimates.
+func (g *Goal) harmLimit(fastest, margin time.Duration) time.Duration {
+	return max(g.Latency-margin, fastest+margin)
 }
 
 // chooseAmongFirst picks one of the candidates with the lowest rank. The probability falls
 // exponentially with the cost, in units of equalFraction of the lowest one, so that about equal
 // candidates share the requests and much slower ones get none. Choosing the fastest one would send the
 // requests of all gateways to it until the next report.
-func chooseAmongFirst(goal Goal, times []Times, ranks []int, random float64) int {
+//
+// The cost is the sum of the time to the first event and the harm to running streams. If there is
+// harm, candidates where the request would be late are left out, unless it would be late everywhere.
+func chooseAmongFirst(goal Goal, margin time.Duration, times []Times, ranks []int, random float64) int {
 	first, count := 0, 0
-	least := time.Duration(math.MaxInt64)
 	for i, rank := range ranks {
-		if rank > ranks[first] {
-			continue
-		}
 		if rank < ranks[first] {
-			first, count, least = i, 0, math.MaxInt64
+			first, count = i, 0
+		}
+		if rank == ranks[first] {
+			count++
 		}
-		count++
-		least = min(least, goal.cost(&times[i]))
 	}
 	if count == 1 {
 		return first
 	}
+	var fastest, least, harm time.Duration = math.MaxInt64, math.MaxInt64, 0
+	for i := range times {
+		if ranks[i] == ranks[first] {
+			fastest, harm = min(fastest, max(times[i].Total, 0)), max(harm, goal.harm(&times[i]))
+		}
+	}
+	limit := time.Duration(math.MaxInt64)
+	if harm > 0 {
+		limit = goal.harmLimit(fastest, margin)
+	}
+	for i := range times {
+		if ranks[i] == ranks[first] && times[i].Total <= limit {
+			least = min(least, max(times[i].Total, 0)+goal.harm(&times[i]))
+		}
+	}
 	unit := max(float64(equalTime), equalFraction*float64(least))
 	weight := func(i int) float64 {
-		if !times[first].Learned {
+		switch {
+		case ranks[i] != ranks[first] || times[i].Total > limit:
+			return 0
+		case !times[first].Learned:
 			return 1
 		}
-		return math.Exp(-float64(goal.cost(&times[i])-least) / unit)
+		return math.Exp(-float64(max(times[i].Total, 0)+goal.harm(&times[i])-least) / unit)
 	}
 	total := 0.0
-	for i := range ranks {
-		if ranks[i] == ranks[first] {
-			total += weight(i)
-		}
+	for i := range times {
+		total += weight(i)
 	}
 	last, x := first, random*total
-	for i := range ranks {
-		if ranks[i] == ranks[first] {
+	for i := range times {
+		if w := weight(i); w > 0 {
 			last = i
-			if x -= weight(i); x < 0 {
+			if x -= w; x < 0 {
 				return i
 			}
 		}
