--- a/internal/cost/choose_test.go
+++ b/internal/cost/choose_test.go
@@ -74,8 +74,10 @@
 	long := Request{Service: "chat", Route: "r", PromptTokens: 11_800}
 	candidates := ranked(4)
 	candidates[0].Speed = 2.5
-	if got := shares(m, goal, long, candidates); got[1] != 1 {
-		t.Errorf("shares %v, want all at the second endpoint", got)
+	for _, g := range []Goal{goal, {Latency: goal.Latency}} { // for the streams there, and for its own time
+		if got := shares(m, g, long, candidates); got[1] != 1 {
+			t.Errorf("%+v: shares %v, want all at the second endpoint", g, got)
+		}
 	}
 	candidates[0].SpeedAge = time.Second
 	if got := shares(m, goal, long, candidates); got[0] != 1 {
--- a/internal/cost/learning_test.go
+++ b/internal/cost/learning_test.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// Guards against prefill times that contain the prefill of other prompts at the endpoint.
+func TestPendingReadIsSubtracted(t *testing.T) {
+	e, m := &engine{rng: rand.New(rand.NewPCG(1, 2))}, New()
+	for i := range 1000 {
+		o := e.run(e.request(), true)
+		o.PendingRead = time.Duration(i%60) * time.Millisecond
+		o.First, o.Total = o.First+o.PendingRead, o.Total+o.PendingRead
+		m.Observe(o)
+	}
+	if err := trueReadError(m, Request{Service: "chat", Route: "r", PromptTokens: 800}); err >= 0.25 {
+		t.Errorf("estimate is off by %.2f", err)
+	}
+}
+
 // Guards against hints that are believed on a route where they are far off.
 func TestCorrectsLengthHints(t *testing.T) {
 	rng, m := rand.New(rand.NewPCG(3, 4)), New()
