--- a/internal/controltest/attempt.go
+++ b/internal/controltest/attempt.go
@@ -62,6 +62,7 @@
 	e.Arrivals = append(e.Arrivals, w.Now())
 	e.InFlight++
 	e.onCrash = append(e.onCrash, a.breakOff)
+	e.sendLoadReport(a.n, a.placed)
 	if a.admission.Route.Kind == routing.Streaming {
 		a.sendEvent()
 		return
--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -141,6 +141,9 @@
 	}
 	n.Sent++
 	n.SentBytes += len(b)
+	if w.OnSend != nil {
+		w.OnSend(n, b)
+	}
 	if action.Message.Kind() != wire.KindStatus {
 		n.OriginsSent++
 		n.OriginsBytes += len(b)
--- a/internal/controltest/request.go
+++ b/internal/controltest/request.go
@@ -18,6 +18,7 @@
 	Blackholed  bool             // it does not reply to anything
 	Failing     bool             // it responds with a failure of its own
 	SilentUntil boottime.Instant // it is sound, but sends nothing before
+	ReportsLoad bool             // it reports its load with its responses
 	InFlight    int
 	Arrivals    []boottime.Instant
 
@@ -107,6 +108,7 @@
 	o := Outcome{Endpoint: e, Attempts: attemptNumber, LoadBefore: float64(e.InFlight), MeanBefore: w.mean(e.Service)}
 	e.Arrivals = append(e.Arrivals, w.Now())
 	e.InFlight++
+	e.sendLoadReport(n, attempt)
 	w.After(e.enqueue(w.Now()), func() {
 		e.InFlight--
 		o.At = w.Now()
@@ -123,6 +125,20 @@
 	})
 }
 
+// sendLoadReport sends the endpoint's load with the head of the response to an attempt.
+func (e *Endpoint) sendLoadReport(n *Node, attempt *control.Attempt) {
+	if !e.ReportsLoad {
+		return
+	}
+	w, process := n.World, n.incarnation
+	report := control.LoadReport{Running: e.InFlight}
+	w.After(networkDelay, func() {
+		if n.incarnation == process {
+			n.run(func() { n.State.ReportLoad(w.Now(), attempt, report) })
+		}
+	})
+}
+
 // enqueue adds a request that arrives at now and returns the time until it is done.
 func (e *Endpoint) enqueue(now boottime.Instant) time.Duration {
 	if e.Slots == 0 {
--- a/internal/controltest/world.go
+++ b/internal/controltest/world.go
@@ -43,6 +43,7 @@
 	Partitioned func(a, b string) bool   // whether two of the gateways, endpoints and the store are partitioned; nil: never
 	Options     func(o *control.Options) // adjusts the options of each gateway; may be nil
 	OnLog       func(n *Node, l control.Log)
+	OnSend      func(n *Node, frame []byte) // called with each message that a gateway sends; may be nil
 
 	rng            *rand.Rand
 	nodesByID      map[fleet.InstanceID]*Node
