--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -20,11 +20,12 @@
 // loadReportTTL is how long an endpoint's own load report is used.
 const loadReportTTL = 500 * time.Millisecond
 
-// LoadReport is the number of running and waiting requests that an endpoint reports with its
+// LoadReport is the number of running and waiting requests, and the speed, that an endpoint reports with its
 // responses.
 type LoadReport struct {
 	Running int
 	Waiting int
+	Speed   int // how long work takes there, in percent of the usual time, 0: not reported
 }
 
 // reportedLoad is the latest LoadReport of an endpoint.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -176,7 +176,7 @@
 			st.ReportRetryAfter(now, a.placed, r.RetryAfter)
 		}
 		if r.Load != nil {
-			st.ReportLoad(now, a.placed, control.LoadReport{Running: r.Load.Running, Waiting: r.Load.Waiting})
+			st.ReportLoad(now, a.placed, control.LoadReport{Running: r.Load.Running, Waiting: r.Load.Waiting, Speed: r.Load.Speed})
 		}
 	})
 }
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -57,6 +57,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	Speed   int // how long work takes at the moment, in percent of the usual time, 0: not reported
 }
 
 // ResponseMetadata holds the values of the status and headers of an endpoint's response.
