mesh: exchange of speeds, pending prefill times and requests by workspace

Cause: a gateway sees few of the reports of an endpoint and only its own prompts there. Change: LocalStatus.Backlog is sent with each Status that has no store update, and aggregators send the newest speed of each endpoint and the sums for their data centre and for the fleet, with the same timing and precedence as the counts of requests. What a gateway has sent is subtracted from a sum by the echoed timestamp. Result: the random faults of TestSumsAreCompleteAndCountedOnce check the new sums, too: never more than there is, exact after faults.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -44,7 +44,8 @@
 	lastSent     boottime.Instant
 	sentVersion  uint64 // LocalStatus.Version of the last Status sent to it
 	summary      summary
-	nextOffset   int // index of the first count of the next summary sent to it
+	backlog      *backlogSum // of its last Status without a store update; nil: it had none
+	nextOffset   int         // index of the first count of the next summary sent to it
 
 	watchedSince boottime.Instant // since when regular messages are expected from it, see watches; 0: they are not
 	aggregator   bool             // as of State.roles
@@ -65,7 +66,9 @@
 	sortedPeers   []*peer // the values of peers, sorted by ID
 	roles         *roles  // nil: to be computed
 	endpoints     endpointIndex
-	sentCounts    []sentCounts // of the latest Status messages, oldest first
+	sentCounts    []sentCounts     // of the latest Status messages, oldest first
+	lastBacklog   *backlogSum      // the last one sent as this gateway's own
+	backlogAt     boottime.Instant // when the last Backlog was received; 0: never
 }
 
 // timestampBits is the size of the random first timestamp of a process, in milliseconds. It keeps
@@ -117,6 +120,12 @@
 	}
 	p.unresponsive = false
 	p.status = m
+	if m.Update == nil { // otherwise there is no place for a Backlog
+		p.backlog = nil
+		if m.Summary == nil {
+			p.backlog = s.receiveBacklog(now, m.Backlog)
+		}
+	}
 	p.lastReceived = now
 	p.lastKnown = now
 	s.receiveSummary(now, p, m)
@@ -147,6 +156,7 @@
 		p.endedIncarnations = append(p.endedIncarnations, p.incarnation)
 	}
 	p.incarnation = inc
+	p.backlog = nil
 }
 
 // ConfirmedAt returns the time, on this gateway's clock, at which the sender of a Status had a
--- a/internal/mesh/status.go
+++ b/internal/mesh/status.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"sync"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -25,6 +26,7 @@
 	Failed          wire.Counts // recent failures of endpoints
 	FailureReports  []wire.FailureReport
 	RecentChanges   *wire.StoreUpdate // sent by Broadcast and Relay; nil: there are none, or they don't fit in a Status
+	Backlog         Backlog           // of this gateway: recent reports, pending reads of 10 ms and more, and workspaces while it is contended
 	Version         uint64            // rises with each change of a field above, except Confirmed
 }
 
@@ -35,6 +37,7 @@
 	s.watchPeers(now)
 	var all *sums
 	var out []Outgoing
+	ownBacklog := sync.OnceValue(func() *wire.Backlog { return s.ownBacklog(now, l) })
 	for _, p := range s.sortedPeers {
 		if now.Sub(p.lastSent) < s.sendInterval(now, p, l) {
 			continue
@@ -49,6 +52,9 @@
 			m.FailureReports = s.forwardedFailures(now, p, m.FailureReports)
 			s.addSummary(&m, p, all)
 		}
+		if m.Summary == nil && (s.watches(p) || !s.aggregated()) {
+			m.Backlog = ownBacklog()
+		}
 		out = append(out, Outgoing{To: p.ID, Addr: p.Addr, Message: m})
 	}
 	return out
@@ -87,7 +93,9 @@
 		p.lastSent = now
 		p.sentVersion = l.Version
 		m := s.status(now, p, l)
-		m.Update = l.RecentChanges
+		if m.Update = l.RecentChanges; m.Update == nil {
+			m.Backlog = s.ownBacklog(now, l)
+		}
 		out = append(out, Outgoing{To: p.ID, Addr: p.Addr, Message: m})
 	}
 	return out
--- a/internal/mesh/summary.go
+++ b/internal/mesh/summary.go
@@ -59,6 +59,7 @@
 	gateways uint32           // gateways whose requests are counted
 	echo     uint64           // timestamp of the latest Status of this gateway that is counted
 	at       boottime.Instant // when its latest part arrived; zero: never
+	backlog  *backlogSum      // of the same gateways; nil: none
 }
 
 // receiveSummary stores the part of a summary that a Status carries.
@@ -77,6 +78,7 @@
 	}
 	copy(sum.counts[part.Offset:], part.Counts)
 	sum.failed, sum.gateways, sum.echo, sum.at = part.Failed, part.Gateways, m.Echo, now
+	sum.backlog = s.receiveBacklog(now, m.Backlog)
 }
 
 // betterThan orders the summaries of one data centre: fresh ones with more gateways come first.
@@ -167,6 +169,7 @@
 type sentCounts struct {
 	timestamp uint64
 	inFlight  wire.Counts
+	backlog   *backlogSum // that its receivers have from this gateway; nil: none
 }
 
 // rememberCounts keeps the counts of a Status that is sent at now.
@@ -179,7 +182,7 @@
 	if len(s.sentCounts) >= maxSentCounts {
 		s.sentCounts = slices.Delete(s.sentCounts, 0, 1)
 	}
-	s.sentCounts = append(s.sentCounts, sentCounts{at, f})
+	s.sentCounts = append(s.sentCounts, sentCounts{at, f, s.lastBacklog})
 }
 
 // withoutOwn returns a sum without the requests of this gateway that it contains.
@@ -211,6 +214,7 @@
 	counts   []byte
 	failed   wire.Counts
 	gateways uint32
+	backlog  *rankedBacklog
 }
 
 // computeSums returns the sums to be sent, or nil unless this gateway is the first aggregator of its data
@@ -226,9 +230,10 @@
 		local[endpoint] += int(n)
 		fleetWide[endpoint] += int(n)
 	}
+	fleetBacklog, localBacklog := s.sumBacklogs(now, own, best)
 	return &sums{
-		fleet:      sumOf{s.endpoints.pack(fleetWide), s.failedSum(now, own.Failed, best), uint32(gateways + 1)},
-		dataCentre: sumOf{s.endpoints.pack(local), s.failedSum(now, own.Failed, nil), uint32(localGateways + 1)},
+		fleet:      sumOf{s.endpoints.pack(fleetWide), s.failedSum(now, own.Failed, best), uint32(gateways + 1), fleetBacklog},
+		dataCentre: sumOf{s.endpoints.pack(local), s.failedSum(now, own.Failed, nil), uint32(localGateways + 1), localBacklog},
 	}
 }
 
@@ -247,13 +252,13 @@
 		return
 	}
 	m.InFlight, m.Failed = nil, nil // part of the sums
-	m.Summary = s.nextPart(p, all, summaryBudget-reportBytes*len(m.FailureReports))
+	s.addPart(m, p, all, summaryBudget-reportBytes*len(m.FailureReports))
 }
 
-// nextPart returns the next part of the sum for a peer, of about the given size in bytes.
-func (s *State) nextPart(p *peer, all *sums, size int) *wire.LoadSummary {
+// addPart adds the next part of the sum for a peer, of about the given size in bytes, and the Backlog of the same gateways.
+func (s *State) addPart(m *wire.Status, p *peer, all *sums, size int) {
 	if len(s.endpoints.ids) == 0 {
-		return nil
+		return
 	}
 	sum := all.dataCentre
 	if p.DataCentre == s.self.DataCentre {
@@ -262,8 +267,10 @@
 	if p.nextOffset >= len(sum.counts) {
 		p.nextOffset = 0
 	}
-	counts := min(max(size-countBytes*len(sum.failed), minSummaryCounts), maxSummaryCounts)
+	size -= countBytes * len(sum.failed)
+	counts := min(max(size-min(sum.backlog.size(&s.endpoints), maxDisplacedCounts), minSummaryCounts), maxSummaryCounts)
 	from, to := p.nextOffset, min(p.nextOffset+counts, len(sum.counts))
 	p.nextOffset = to
-	return &wire.LoadSummary{Digest: s.endpoints.digest, Gateways: sum.gateways, Offset: uint32(from), Counts: sum.counts[from:to], Failed: sum.failed}
+	m.Summary = &wire.LoadSummary{Digest: s.endpoints.digest, Gateways: sum.gateways, Offset: uint32(from), Counts: sum.counts[from:to], Failed: sum.failed}
+	m.Backlog = s.fit(sum.backlog, size-(to-from)+statusBudget-summaryBudget)
 }
--- a/internal/mesh/summary_test.go
+++ b/internal/mesh/summary_test.go
@@ -17,7 +17,7 @@
 
 const testEndpoint = 7 // short ID
 
-// simNode is a gateway with one request in flight at testEndpoint.
+// simNode is a gateway with one request in flight at testEndpoint and with testBacklog.
 type simNode struct {
 	Member
 	state       *State
@@ -83,7 +83,7 @@
 			if n.state == nil || sim.now.Before(n.pausedUntil) {
 				continue
 			}
-			l := LocalStatus{InFlight: wire.Counts{testEndpoint: 1}, Version: uint64(sim.now)}
+			l := LocalStatus{InFlight: wire.Counts{testEndpoint: 1}, Backlog: testBacklog(), Version: uint64(sim.now)}
 			for _, o := range n.state.Tick(sim.now, l) {
 				sim.send(i, sim.index(o.To), n.incarnation, o.Message.(wire.Status))
 			}
@@ -141,6 +141,9 @@
 		if got := n.state.InFlight(sim.now)[testEndpoint]; got > len(sim.nodes) {
 			sim.t.Fatalf("%s counts %d requests of %d gateways", n.ID, got, len(sim.nodes))
 		}
+		if b := n.state.Backlog(sim.now); b.Reads[testEndpoint] > testRead*time.Duration(len(sim.nodes)) || b.Workspaces[testWorkspace] > len(sim.nodes) {
+			sim.t.Fatalf("%s has %+v of %d gateways", n.ID, b, len(sim.nodes))
+		}
 	}
 }
 
@@ -180,6 +183,9 @@
 			if got := n.state.InFlight(sim.now)[testEndpoint]; got != len(sim.nodes)-1 {
 				t.Errorf("%s counts %d requests of %d other gateways", n.ID, got, len(sim.nodes)-1)
 			}
+			if b := n.state.Backlog(sim.now); b.Reads[testEndpoint] != testRead*time.Duration(len(sim.nodes)-1) || b.Workspaces[testWorkspace] != len(sim.nodes)-1 {
+				t.Errorf("%s has %+v of %d other gateways", n.ID, b, len(sim.nodes)-1)
+			}
 		}
 	})
 }
