control: speeds and pending prefill times of endpoints, and the fleet's requests by workspace

Cause: placement and admission control are to use what all gateways have observed. Change: ReportLoad passes a speed on to package backlog, Status messages carry it, and EndpointBacklog and WorkspaceLoads return the fleet's state. Placement is unchanged.

--- /dev/null
+++ b/internal/control/backlog.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"maps"
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/backlog"
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/mesh"
+)
+
+// fleetBacklog is the outstanding work and the speed of endpoints, and the requests in flight of workspaces, as this process
+// and its peers know them.
+type fleetBacklog struct {
+	tracker        *backlog.Tracker
+	stale          bool           // a peer's status has arrived since the last refresh
+	ownWorkspaces  map[uint32]int // as set by SetWorkspaceLoads
+	peerWorkspaces map[uint32]int
+}
+
+// refreshBacklog takes in what peers have reported.
+func (s *State) refreshBacklog(now boottime.Instant) {
+	b := &s.backlog
+	if !b.stale {
+		return
+	}
+	b.stale = false
+	reported := s.mesh.Backlog(now)
+	for endpoint, speed := range reported.Speeds {
+		b.tracker.PeerSpeed(now, endpoint, int(speed.Percent), now.Sub(speed.At))
+	}
+	b.tracker.PeerReads(now, reported.Reads)
+	b.peerWorkspaces = reported.Workspaces
+}
+
+// backlogOf returns the outstanding work and the speed of an endpoint.
+func (s *State) backlogOf(now boottime.Instant, e *endpoint) backlog.State {
+	s.refreshBacklog(now)
+	return s.backlog.tracker.Endpoint(now, e.shortID())
+}
+
+// EndpointBacklog returns the outstanding work and the speed of an endpoint, and whether the endpoint is known.
+func (s *State) EndpointBacklog(now boottime.Instant, id fleet.EndpointID) (backlog.State, bool) {
+	e := s.endpoints[id]
+	if e == nil {
+		return backlog.State{Speed: 1}, false
+	}
+	return s.backlogOf(now, e), true
+}
+
+// reportSpeed records the speed that an endpoint reported, 0: none.
+func (s *State) reportSpeed(now boottime.Instant, e *endpoint, percent int) {
+	if percent == 0 {
+		return
+	}
+	s.refreshBacklog(now)
+	if s.backlog.tracker.ReportSpeed(now, e.shortID(), percent) {
+		s.peerLoads.statusVersion++
+	}
+}
+
+// PromptSent records that the prompt of an attempt is expected to take a time to prefill at its endpoint. It counts there until
+// PromptRead or AttemptEnded.
+func (s *State) PromptSent(now boottime.Instant, a *Attempt, read time.Duration) {
+	if !a.endpoint.attempts[a] {
+		return // it has ended
+	}
+	s.backlog.tracker.Sent(now, a.endpoint.shortID(), a, read)
+	s.peerLoads.statusVersion++
+}
+
+// PromptRead records that the first event of an attempt has arrived.
+func (s *State) PromptRead(now boottime.Instant, a *Attempt) { s.backlog.tracker.Begun(now, a) }
+
+// SetWorkspaceLoads sets the requests in flight of workspaces at this process, by the low 32 bits of fleet.Hash of the
+// workspace's ID. They are sent to peers until they are set to nil: they must be nil unless this process has been contended
+// lately. The map must not be changed afterwards.
+func (s *State) SetWorkspaceLoads(loads map[uint32]int) {
+	if (loads == nil) != (s.backlog.ownWorkspaces == nil) {
+		s.peerLoads.statusVersion++
+	}
+	s.backlog.ownWorkspaces = loads
+}
+
+// WorkspaceLoads returns the requests in flight of workspaces over the fleet, as far as gateways that have been contended lately
+// report them, with those of this process. It returns nil if there are none.
+func (s *State) WorkspaceLoads(now boottime.Instant) map[uint32]int {
+	s.refreshBacklog(now)
+	if len(s.backlog.ownWorkspaces)+len(s.backlog.peerWorkspaces) == 0 {
+		return nil
+	}
+	sum := make(map[uint32]int, len(s.backlog.peerWorkspaces))
+	maps.Copy(sum, s.backlog.peerWorkspaces)
+	for workspace, n := range s.backlog.ownWorkspaces {
+		sum[workspace] += n
+	}
+	return sum
+}
+
+// ownBacklog returns what this process reports to peers.
+func (s *State) ownBacklog(now boottime.Instant) mesh.Backlog {
+	s.refreshBacklog(now)
+	return mesh.Backlog{
+		Speeds:     s.backlog.tracker.OwnSpeeds(now),
+		Reads:      s.backlog.tracker.OwnReads(),
+		Workspaces: s.backlog.ownWorkspaces,
+	}
+}
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -34,9 +34,10 @@
 	at boottime.Instant
 }
 
-// ReportLoad records the load that an endpoint reported with a response.
+// ReportLoad records the load and the speed that an endpoint reported with a response.
 func (s *State) ReportLoad(now boottime.Instant, a *Attempt, report LoadReport) {
 	a.endpoint.reported = reportedLoad{LoadReport: report, at: now}
+	s.reportSpeed(now, a.endpoint, report.Speed)
 }
 
 // load returns the estimated number of the fleet's requests at an endpoint: the sum of the
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -165,7 +165,7 @@
 		s.join.unknownPeer = true
 		return
 	}
-	s.peerLoads.stale = true
+	s.peerLoads.stale, s.backlog.stale = true, true
 	s.askForEvidence(now)
 	s.receiveFailureReports(now, m.FailureReports)
 	if !s.follows(from, m.Revision) {
@@ -231,6 +231,7 @@
 		Failed:          s.ownFailed(now),
 		FailureReports:  s.ownFailureReports(now),
 		RecentChanges:   s.signedChanges(now),
+		Backlog:         s.ownBacklog(now),
 		Version:         s.peerLoads.statusVersion,
 	}
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/dandelionvane/dandelionvane/internal/backlog"
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/crasher"
 	"github.com/dandelionvane/dandelionvane/internal/event"
@@ -52,6 +53,7 @@
 	mesh           *mesh.State
 	join           joinState
 	peerLoads      peerLoads
+	backlog        fleetBacklog
 	origins        origins
 	trust          contentTrust
 	crashes        crashes
@@ -86,6 +88,7 @@
 		unconfirmedEvacuations: map[fleet.DataCentreID]bool{},
 		endpoints:              map[fleet.EndpointID]*endpoint{},
 		endpointsByShort:       map[uint32]*endpoint{},
+		backlog:                fleetBacklog{tracker: backlog.New()},
 		origins:                newOrigins(),
 		trust:                  newContentTrust(opts),
 		crashes:                crashes{detector: crasher.New()},
--- a/internal/controltest/request.go
+++ b/internal/controltest/request.go
@@ -19,6 +19,7 @@
 	Failing     bool             // it responds with a failure of its own
 	SilentUntil boottime.Instant // it is sound, but sends nothing before
 	ReportsLoad bool             // it reports its load with its responses
+	Speed       int              // reported with its load, in percent of the usual time; 0: not reported
 	InFlight    int
 	Arrivals    []boottime.Instant
 
@@ -131,7 +132,7 @@
 		return
 	}
 	w, process := n.World, n.incarnation
-	report := control.LoadReport{Running: e.InFlight}
+	report := control.LoadReport{Running: e.InFlight, Speed: e.Speed}
 	w.After(networkDelay, func() {
 		if n.incarnation == process {
 			n.run(func() { n.State.ReportLoad(w.Now(), attempt, report) })
