--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -21,6 +21,7 @@
 	State        *control.State
 	Paused       bool // the process is paused; events that arrive are deferred
 	StoreRejects bool // the store rejects this gateway's reads
+	NoBacklog    bool // it is of a version that neither sends nor knows wire.Backlog
 	Reads        int  // reads of the store
 	Sent         int  // messages sent to peers, including lost ones
 	SentBytes    int
@@ -135,7 +136,12 @@
 
 func (n *Node) send(action control.Send) {
 	w := n.World
-	b, err := wire.Encode(wire.Frame{Header: wire.Header{Incarnation: n.incarnation}, Message: action.Message})
+	message := action.Message
+	if status, ok := message.(wire.Status); ok && n.NoBacklog {
+		status.Backlog = nil
+		message = status
+	}
+	b, err := wire.Encode(wire.Frame{Header: wire.Header{Incarnation: n.incarnation}, Message: message})
 	if err != nil {
 		panic("controltest: " + err.Error())
 	}
@@ -157,11 +163,23 @@
 			panic("controltest: " + err.Error())
 		}
 		if to := w.node(action.To); to != nil {
-			to.run(func() { to.State.Receive(w.Now(), n.ID, f.Header.Incarnation, f.Message) })
+			to.run(func() { to.State.Receive(w.Now(), n.ID, f.Header.Incarnation, to.understood(f.Message)) })
 		}
 	})
 }
 
+// understood returns a message as the gateway's version decodes it. One that does not know wire.Backlog finds the store update
+// that carries it.
+func (n *Node) understood(m wire.Message) wire.Message {
+	status, ok := m.(wire.Status)
+	if !ok || !n.NoBacklog || status.Backlog == nil {
+		return m
+	}
+	status.Backlog = nil
+	status.Update = &wire.StoreUpdate{Items: []wire.StoreItem{{Key: "backlog", Value: []byte("not understood")}}}
+	return status
+}
+
 // pull simulates a pull over a connection: it is not subject to loss, but to partitions.
 func (n *Node) pull(action control.PullItems) {
 	w, process, sent := n.World, n.incarnation, n.World.Now()
