--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -20,11 +20,12 @@
 // loadReportTTL is how long an endpoint's own load report is used.
 const loadReportTTL = 500 * time.Millisecond
 
-// LoadReport is the number of running and waiting requests that an endpoint reports with its
+// LoadReport is the number of running and waiting requests, and the speed, that an endpoint reports with its
 // responses.
 type LoadReport struct {
 	Running int
 	Waiting int
+	Speed   int // how long work takes there, in percent of the usual time, 0: not reported
 }
 
 // reportedLoad is the latest LoadReport of an endpoint.
@@ -33,9 +34,10 @@
 	at boottime.Instant
 }
 
-// ReportLoad records the load that an endpoint reported with a response.
+// ReportLoad records the load and the speed that an endpoint reported with a response.
 func (s *State) ReportLoad(now boottime.Instant, a *Attempt, report LoadReport) {
 	a.endpoint.reported = reportedLoad{LoadReport: report, at: now}
+	s.reportSpeed(now, a.endpoint, report.Speed)
 }
 
 // load returns the estimated number of the fleet's requests at an endpoint: the sum of the
