--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/contention"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
@@ -28,6 +29,7 @@
 	ReasonStopping                // a planned stop would end before the request's time limit
 	ReasonOnTrial                 // the request is suspected of crashing endpoints, and another attempt of it is on trial
 	ReasonCrashesEndpoints        // the request crashes the endpoints that run it
+	ReasonContention              // the service has no room for the request, see package contention
 )
 
 // String returns the reason's stable name in logs and metrics.
@@ -63,6 +65,8 @@
 		return "on_trial"
 	case ReasonCrashesEndpoints:
 		return "crashes_endpoints"
+	case ReasonContention:
+		return "contention"
 	default:
 		return "invalid"
 	}
@@ -75,6 +79,7 @@
 	APIKey        string
 	CallerTimeout time.Duration // the caller's own timeout; 0: not given
 	Affinity      uint64        // hash of the prompt's shared prefix; 0: none
+	Resumed       bool          // the caller goes on with a stream that has begun
 }
 
 // Admission is the result of Admit. A request with a Reason other than ReasonNone is not
@@ -87,11 +92,12 @@
 	Workspace   fleet.WorkspaceID
 	Priority    int // of the workspace and the route, see routing.Table.Priority; 0 is the highest
 	Timeout     time.Duration
-	HeaderLimit int            // bytes, 0: none
-	BodyLimit   int64          // bytes, 0: none
-	Revision    fleet.Revision // of the store snapshot that the decision is based on
-	SnapshotAge time.Duration  // age of that snapshot
-	Hold        bool           // see State.AwaitsEvidence
+	HeaderLimit int               // bytes, 0: none
+	BodyLimit   int64             // bytes, 0: none
+	Revision    fleet.Revision    // of the store snapshot that the decision is based on
+	SnapshotAge time.Duration     // age of that snapshot
+	Hold        bool              // see State.AwaitsEvidence
+	Contention  contention.Reason // with ReasonContention
 }
 
 // admissionRetryAfter is the mean retry-after of a request that Admit rejects. The local snapshot is
@@ -117,6 +123,9 @@
 	ad.Service = s.pickService(ad.Route, req.Affinity)
 	ad.Hold = s.AwaitsEvidence(now)
 	s.retryWindow(ad.Service).CountRequest(now)
+	if d := s.admitUnderContention(now, &req, &ad); !d.Admitted {
+		ad.Reason, ad.RetryAfter, ad.Contention = ReasonContention, d.RetryAfter, d.Reason
+	}
 	return ad
 }
 
--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/cost"
 	"github.com/dandelionvane/dandelionvane/internal/crasher"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/origin"
@@ -27,11 +29,14 @@
 	SuspectedProgress   uint64                // number of the stream's event beyond which the request is cleared, see RequestProgressed
 	EndpointUnreachable <-chan struct{}       // closed when a connection attempt to the endpoint times out
 
+	cost                cost.Request
+	pendingRead         time.Duration // prefill time that was outstanding at the endpoint before the attempt
 	version             origin.Version
 	entryCertain        bool
 	sentAt              boottime.Instant
-	lastEvent           atomic.Int64  // boottime.Instant of the last event of its stream; 0: none
-	events              atomic.Uint32 // of its stream
+	startedAt           boottime.Instant // of the response; 0: it has not started
+	lastEvent           atomic.Int64     // boottime.Instant of the last event of its stream; 0: none
+	events              atomic.Uint32    // of its stream
 	endpoint            *endpoint
 	endpointUnreachable chan struct{}
 }
@@ -52,6 +57,8 @@
 		Shares:              req.Shares,
 		EndpointUnreachable: unreachable,
 
+		cost:                req.Cost,
+		pendingRead:         s.backlog.tracker.Endpoint(now, e.shortID()).PendingRead,
 		version:             e.version,
 		entryCertain:        s.entryCertain(e),
 		sentAt:              now,
--- a/internal/control/choose.go
+++ b/internal/control/choose.go
@@ -95,7 +95,9 @@
 // bound.
 func (s *State) weighByAffinity(now boottime.Instant, req PlacementRequest, w *weighing) {
 	w.bound = s.loadBound(&w.endpointClasses)
+	contended := s.contended(req.Service)
 	var bestWeight uint64
+	bestFull := false
 	for i := range w.candidates {
 		x := &w.candidates[i]
 		x.weight = fleet.Weight(req.Affinity, x.hash)
@@ -107,11 +109,24 @@
 			x.excluded = ExcludedBound
 			continue
 		}
+		full := contended && x.Capacity > 0 && float64(x.load+x.unreported) >= 1.2*float64(x.Capacity)
+		if w.chosen != nil && full != bestFull {
+			if full {
+				continue
+			}
+			w.chosen = nil
+		}
+		bestFull = full
 		if w.chosen == nil || x.weight > bestWeight {
 			w.chosen, bestWeight = x.endpoint, x.weight
 		}
 	}
 	w.markProbes(bestWeight + 1)
+	if w.chosen != nil && s.uneven(now, req.Service) {
+		if x := s.chooseByTime(now, &req, w); x != nil {
+			w.chosen = x.endpoint
+		}
+	}
 	if w.chosen == nil {
 		s.weighRandom(now, req.Service, w)
 		return
@@ -142,11 +157,16 @@
 // hops. Gateways in all data centres do so, so that the total loads stay balanced.
 func (s *State) weighRandom(now boottime.Instant, service fleet.ServiceID, w *weighing) {
 	w.rule = ruleRandom
+	uneven := s.uneven(now, service)
 	loads := make([]float64, 0, w.eligibleCount)
 	for i := range w.candidates {
 		if x := &w.candidates[i]; x.eligible() {
 			x.unreported = s.unreportedLoad(now, x.endpoint)
-			loads = append(loads, float64(x.load+x.unreported))
+			load := float64(x.load + x.unreported)
+			if uneven {
+				load = s.workload(now, x)
+			}
+			loads = append(loads, load)
 		}
 	}
 	shares := waterFill(loads, 1+s.expectedArrivals(now, service))
--- a/internal/control/classify.go
+++ b/internal/control/classify.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/cost"
 	"github.com/dandelionvane/dandelionvane/internal/origin"
 )
 
@@ -53,10 +54,11 @@
 	load     int // estimated requests of the fleet
 
 	// Set by weigh, for the candidates that its rule considers.
-	unreported int     // estimated requests of peers that are not part of load
-	weight     uint64  // rendezvous weight for the request
-	share      float64 // of a random choice, relative to the other shares
-	probe      bool    // down, and might be chosen if it were not
+	unreported int         // estimated requests of peers that are not part of load
+	weight     uint64      // rendezvous weight for the request
+	share      float64     // of a random choice, relative to the other shares
+	probe      bool        // down, and might be chosen if it were not
+	times      *cost.Times // estimated, of the candidates that are weighed by time; nil: it is not one of them
 }
 
 // endpointClasses is the classification of a service's endpoints for one request.
--- /dev/null
+++ b/internal/control/contention.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/contention"
+	"github.com/dandelionvane/dandelionvane/internal/event"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/routing"
+)
+
+// serviceLoad is what this process knows about the load of one service.
+type serviceLoad struct {
+	contention      *contention.Controller
+	queueLimit      float64          // load at which endpoints refuse requests, as a multiple of their slots; 0: not known
+	contended       bool             // as of the last tick
+	speedReportedAt boottime.Instant // last report of a speed by an endpoint; 0: none
+}
+
+// serviceLoadOf returns the state of a service's load.
+func (s *State) serviceLoadOf(service fleet.ServiceID) *serviceLoad {
+	l := s.serviceLoads[service]
+	if l == nil {
+		l = &serviceLoad{contention: contention.New(s.opts.RandomSeed ^ fleet.Hash(string(service)))}
+		s.serviceLoads[service] = l
+	}
+	return l
+}
+
+// tickContention updates the contention of all services.
+func (s *State) tickContention(now boottime.Instant) {
+	if s.table == nil {
+		return
+	}
+	goals := shortestGoals(s.table.Config().Routes)
+	for i := range s.table.Config().Services {
+		id := s.table.Config().Services[i].ID
+		load, slots := s.loadAndSlots(now, id)
+		l := s.serviceLoadOf(id)
+		hold := s.costs.ServiceTime(id)
+		l.contention.Update(now, load, slots, hold, l.longestWait(hold, goals[id]))
+		s.logContention(now, id, l)
+	}
+}
+
+// longestWait returns 4 x the wait up to which requests queue at endpoints.
+func (l *serviceLoad) longestWait(hold, goal time.Duration) time.Duration {
+	wait := 1500 * time.Millisecond
+	if l.queueLimit > 1 {
+		wait = min(wait, time.Duration((0.85*l.queueLimit-1)*float64(hold)))
+	}
+	return 4 * max(wait, goal/4)
+}
+
+// noteRefusal records that an endpoint refused a request for lack of room.
+func (s *State) noteRefusal(now boottime.Instant, e *endpoint) {
+	load := e.reported.Running + e.reported.Waiting
+	if e.Capacity <= 0 || load <= e.Capacity || now.Sub(e.reported.at) > loadReportTTL {
+		return
+	}
+	l := s.serviceLoadOf(e.Service)
+	level := float64(load) / float64(e.Capacity)
+	if l.queueLimit == 0 {
+		l.queueLimit = level
+	}
+	l.queueLimit += 0.1 * (level - l.queueLimit)
+}
+
+// shortestGoals returns the shortest latency goal of each service's routes.
+func shortestGoals(routes []routing.Route) map[fleet.ServiceID]time.Duration {
+	goals := map[fleet.ServiceID]time.Duration{}
+	for i := range routes {
+		for _, t := range routes[i].Targets {
+			if g := routes[i].GoalLatency; g > 0 && (goals[t.Service] == 0 || g < goals[t.Service]) {
+				goals[t.Service] = g
+			}
+		}
+	}
+	return goals
+}
+
+// loadAndSlots returns the fleet's requests at the endpoints of a service that take requests at their usual rate, and
+// the sum of the slots there. Endpoints without a published number of slots are left out.
+func (s *State) loadAndSlots(now boottime.Instant, service fleet.ServiceID) (load float64, slots int) {
+	counts := s.peerCounts(now)
+	for _, e := range s.services[service] {
+		if e.Capacity <= 0 || !s.usable(now, e) || e.health.down || now.Before(e.coldStart.until) || now.Before(e.noRequestsUntil) {
+			continue
+		}
+		load += float64(e.loadAt(now, counts))
+		slots += e.Capacity
+	}
+	return load, slots
+}
+
+// logContention logs the beginning and the end of contention.
+func (s *State) logContention(now boottime.Instant, service fleet.ServiceID, l *serviceLoad) {
+	st := l.contention.State(now)
+	if st.Contended == l.contended {
+		return
+	}
+	l.contended = st.Contended
+	s.log(event.ContentionChanged, "service", service, "contended", st.Contended, "utilization", st.Utilization, "target", st.Target,
+		"demand", st.Demand, "hold_ms", s.costs.ServiceTime(service).Milliseconds(), "queue_limit", l.queueLimit)
+}
+
+// contended reports whether a service has more requests than its endpoints can start within the latency goals.
+func (s *State) contended(service fleet.ServiceID) bool {
+	l := s.serviceLoads[service]
+	return l != nil && l.contended
+}
+
+// admitUnderContention decides whether a request is admitted while its service is contended. A request that goes on with a
+// stream that has begun is admitted: most of its work is done.
+func (s *State) admitUnderContention(now boottime.Instant, req *AdmissionRequest, ad *Admission) contention.Decision {
+	l := s.serviceLoadOf(ad.Service)
+	r := contention.Request{
+		RoutePriority:  ad.Route.Priority,
+		TimeLeft:       ad.Timeout,
+		UsualTimeLimit: s.usualTimeLimit(now, ad.Route, req.CallerTimeout),
+		Goal:           ad.Route.GoalLatency,
+		PauseGoal:      ad.Route.GoalEventGap,
+	}
+	if req.CallerTimeout > 0 {
+		r.TimeLeft = req.CallerTimeout
+	}
+	if ad.Workspace != "" {
+		r.Workspace = uint32(fleet.Hash(string(ad.Workspace)))
+	}
+	if w := s.table.Workspace(req.APIKey); w != nil && w.HasPriority {
+		r.WorkspacePriority, r.HasWorkspacePriority = w.Priority, true
+	}
+	d := l.contention.Admit(now, r)
+	if req.Resumed {
+		d.Admitted = true
+	}
+	return d
+}
+
+const (
+	// timeLimitPeriod is how long the longest time limit of a route's callers is remembered, at least.
+	timeLimitPeriod = 30 * time.Second
+	// maxTimeLimits bounds the routes whose callers' time limits are remembered.
+	maxTimeLimits = 4096
+)
+
+// callerTimeLimit is the longest time limit that callers of a route have given, in this period and in the one before.
+type callerTimeLimit struct {
+	current, previous time.Duration
+	periodStart       boottime.Instant
+}
+
+// usualTimeLimit records the time limit of a caller's request and returns the usual one of its route: the longest of the
+// last seconds. A caller that returns after a refusal gives the time that it has left.
+func (s *State) usualTimeLimit(now boottime.Instant, r *routing.Route, limit time.Duration) time.Duration {
+	l := s.timeLimits[r.Name]
+	if l == nil {
+		if len(s.timeLimits) >= maxTimeLimits {
+			clear(s.timeLimits)
+		}
+		l = &callerTimeLimit{periodStart: now}
+		s.timeLimits[r.Name] = l
+	}
+	if now.Sub(l.periodStart) >= timeLimitPeriod {
+		l.previous, l.current, l.periodStart = l.current, 0, now
+	}
+	l.current = max(l.current, limit)
+	return max(l.current, l.previous)
+}
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -37,6 +37,7 @@
 // ReportLoad records the load and the speed that an endpoint reported with a response.
 func (s *State) ReportLoad(now boottime.Instant, a *Attempt, report LoadReport) {
 	a.endpoint.reported = reportedLoad{LoadReport: report, at: now}
+	s.noteSpeedReport(now, a.endpoint, report.Speed)
 	s.reportSpeed(now, a.endpoint, report.Speed)
 }
 
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/cost"
 	"github.com/dandelionvane/dandelionvane/internal/crasher"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/origin"
@@ -40,6 +41,9 @@
 	Version  origin.Version     // the only version at which the request may run; 0: any
 	Stream   fleet.RequestID    // if set, the request goes on with this stream, of which this process has forwarded events
 
+	Cost cost.Request // what is known about its size
+	Goal cost.Goal    // of its route
+
 	Request crasher.Fingerprint // of the request's content, 0: not known
 	Shares  crasher.Shares      // what the request may have in common with others
 
@@ -94,6 +98,7 @@
 	if denied.Reason != ReasonNone {
 		return denied
 	}
+	s.refreshBacklog(now)
 	w := s.weigh(now, req, s.inputs(now, req))
 	w.requestProbes()
 	if w.eligibleCount == 0 {
@@ -116,6 +121,7 @@
 	s.crashes.detector.TraitsSent(now, req.Shares)
 	attempt.CacheSourceAddr = s.cacheSource(now, req.Affinity, e)
 	e.attempts[attempt] = true
+	s.promptSent(now, attempt, &w)
 	return Placement{Attempt: attempt}
 }
 
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -33,6 +33,9 @@
 // better, and nothing speaks against a single endpoint.
 func (s *State) GiveUp(now boottime.Instant, a SilentAttempt) *Reservation {
 	result := s.silenceResult(a)
+	if result == ResponseOverdue && a.Attempt.startedAt == 0 && s.contended(a.Retry.Service) {
+		return nil // it waits in the endpoint's queue; another queue is no better
+	}
 	if result == ResponseOverdue {
 		a.Retry.maxSilence = a.HangTimeout / 2
 	}
--- a/internal/control/result.go
+++ b/internal/control/result.go
@@ -69,6 +69,7 @@
 	switch r {
 	case ResponseComplete:
 		e.lastProgress = now
+		s.learnCost(now, a)
 		e.noteSurvivor(now, a)
 		s.requestCompleted(now, a)
 		s.attemptCompleted(now, a)
@@ -82,6 +83,7 @@
 	case ConnectionRefused, ConnectTimedOut:
 		s.markDown(now, e, r == ConnectTimedOut, true)
 	case RequestRefused:
+		s.noteRefusal(now, e)
 		e.health.avoidUntil = max(e.health.avoidUntil, now.Add(refusalAvoidInterval))
 	case Misdirected:
 		e.addrReused = true
@@ -90,6 +92,10 @@
 
 // ResponseStarted records that the endpoint has begun to respond.
 func (s *State) ResponseStarted(now boottime.Instant, a *Attempt) {
+	if a.startedAt == 0 {
+		a.startedAt = now
+		s.PromptRead(now, a)
+	}
 	a.endpoint.lastProgress = now
 	a.endpoint.health.lastSuccess = now
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/backlog"
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/cost"
 	"github.com/dandelionvane/dandelionvane/internal/crasher"
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
@@ -70,6 +71,9 @@
 	services               map[fleet.ServiceID][]*endpoint // in the order of their IDs
 	retryWindows           map[fleet.ServiceID]*retry.Window
 	retrySuccessRates      map[fleet.ServiceID]float64 // moving average of the success of retries after endpoints' own failures
+	costs                  *cost.Model
+	serviceLoads           map[fleet.ServiceID]*serviceLoad
+	timeLimits             map[string]*callerTimeLimit // of callers, by route
 	outliersCheckedAt      boottime.Instant
 	loggedAggregators      []fleet.InstanceID
 	stopping               bool
@@ -95,6 +99,9 @@
 		services:               map[fleet.ServiceID][]*endpoint{},
 		retryWindows:           map[fleet.ServiceID]*retry.Window{},
 		retrySuccessRates:      map[fleet.ServiceID]float64{},
+		costs:                  cost.New(),
+		serviceLoads:           map[fleet.ServiceID]*serviceLoad{},
+		timeLimits:             map[string]*callerTimeLimit{},
 	}
 }
 
@@ -117,6 +124,7 @@
 	s.contain("tick_evacuations", func() { s.tickEvacuations(now) })
 	s.contain("tick_origins", func() { s.tickOrigins(now) })
 	s.contain("tick_crashes", func() { s.tickCrashes(now) })
+	s.contain("tick_contention", func() { s.tickContention(now) })
 	s.contain("check_outliers", func() { s.checkOutliers(now) })
 	s.contain("tick_mesh", func() { s.send(s.mesh.Tick(now, s.localStatus(now))) })
 }
@@ -177,6 +185,12 @@
 	Addr string
 }
 
+// EstimateError reports how far off the estimate of a request's time to the first event was, as a fraction of that time.
+type EstimateError struct {
+	Service       fleet.ServiceID
+	RelativeError float64
+}
+
 // Log requests a log line.
 type Log struct {
 	Event  event.Number
@@ -188,6 +202,7 @@
 func (PullItems) action()     {}
 func (QuerySeeds) action()    {}
 func (ProbeEndpoint) action() {}
+func (EstimateError) action() {}
 func (Log) action()           {}
 
 // Drain returns the actions queued since the last call, in order.
--- a/internal/cost/times.go
+++ b/internal/cost/times.go
@@ -105,6 +105,11 @@
 	return 1 + (speed-1)*math.Exp2(-float64(max(age, 0))/float64(speedHalfLife))
 }
 
+// ExpectedSpeed returns the speed to expect of an endpoint that reported a speed some time ago.
+func ExpectedSpeed(reported float64, age time.Duration) float64 {
+	return fadedSpeed(plausibleSpeed(reported), age)
+}
+
 // meanSpeed returns the mean of the speed to expect between two ages of a report.
 func meanSpeed(speed float64, from, to time.Duration) float64 {
 	if speed == 1 || to <= from {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,6 +212,8 @@
 		p.start("probe", func() { p.probe(a) }, "endpoint", a.ID)
 	case control.AskIncarnation:
 		p.start("ask_incarnation", func() { p.askIncarnation(a) }, "endpoint", a.ID)
+	case control.EstimateError:
+		p.recordEstimateError(a)
 	case control.Log:
 		event.LogFields(a.Event, a.Fields...)
 		p.countEvent(a)
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -63,6 +63,14 @@
 	s.Gauge("panics_contained").Update(float64(fault.Contained()))
 }
 
+// estimateErrorBuckets bound the relative errors of estimates; the target for the median is a quarter.
+var estimateErrorBuckets = tally.ValueBuckets{0.05, 0.1, 0.25, 0.5, 1, 2, 5}
+
+// recordEstimateError records how far off the estimate of a request's time to the first event was.
+func (p *process) recordEstimateError(e control.EstimateError) {
+	p.scope().Tagged(map[string]string{"service": string(e.Service)}).Histogram("estimate_error", estimateErrorBuckets).RecordValue(e.RelativeError)
+}
+
 // countRead counts a read of the store by kind and result.
 func (p *process) countRead(r control.ReadStore, err error) {
 	kind := "changes"
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -88,6 +88,7 @@
 			APIKey:        c.meta.Key,
 			CallerTimeout: c.meta.CallerTimeout,
 			Affinity:      c.affinityKey,
+			Resumed:       c.meta.LastEventID != "",
 		})
 	})
 	admission := &c.admission
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -38,6 +38,7 @@
 	Prompt          []PromptPart
 	PromptTokens    int
 	MaxOutputTokens int
+	LengthHint      int             // the caller's estimate of output tokens, 0 if not set
 	LastEventID     string          // last event that the caller received of an interrupted stream, "" for none
 	Resumes         fleet.RequestID // request that brought the first event of that stream, "" if not set
 }
--- a/internal/ingress/placement.go
+++ b/internal/ingress/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/cost"
 	"github.com/dandelionvane/dandelionvane/internal/event"
 )
 
@@ -114,12 +115,25 @@
 // placementRequest returns the request of the next attempt. begun says that events were forwarded to the caller.
 func (c *call) placementRequest(begun bool) control.PlacementRequest {
 	req := control.PlacementRequest{Service: c.admission.Service, Affinity: c.affinityKey, Tried: c.triedEndpoints, Version: c.origin.version, Request: c.fingerprint, Shares: c.shares}
+	req.Cost, req.Goal = c.cost(), cost.Goal{Latency: c.admission.Route.GoalLatency, EventGap: c.admission.Route.GoalEventGap, Priority: c.admission.Priority}
 	if begun {
 		req.Stream = c.origin.stream
 	}
 	return req
 }
 
+// cost returns what is known about the size of the request.
+func (c *call) cost() cost.Request {
+	r := cost.Request{
+		Service: c.admission.Service, Route: c.admission.Route.Name,
+		PromptTokens: c.meta.PromptTokens, MaxOutputTokens: c.meta.MaxOutputTokens, LengthHint: c.meta.LengthHint,
+	}
+	for i := range len(c.meta.Prompt) - 1 {
+		r.SharedTokens += c.meta.Prompt[i].Tokens
+	}
+	return r
+}
+
 // retryAfter returns the retry-after of a request that endpoints have refused.
 func (c *call) retryAfter() time.Duration {
 	after := jitteredRetryAfter()
