--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -102,13 +102,8 @@
 // priority, timeout and service. Admitted requests count towards the retry budget.
 func (s *State) Admit(now boottime.Instant, req AdmissionRequest) Admission {
 	ad := Admission{Revision: s.mirror.Revision(), SnapshotAge: s.SnapshotAge(now)}
-	if s.table == nil {
-		return s.reject(ad, ReasonNoConfig)
-	}
-	ad.HeaderLimit, ad.BodyLimit = s.table.Config().Limits.MaxHeaderBytes, s.table.Config().Limits.MaxBodyBytes
-	ad.Route = s.table.Route(req.Host, req.Path)
-	if ad.Route == nil {
-		return s.reject(ad, s.denialReason(now, ReasonNoRoute))
+	if reason := s.findRoute(now, req.Host, req.Path, &ad); reason != ReasonNone {
+		return s.reject(ad, reason)
 	}
 	if reason := s.authenticate(now, req.APIKey, &ad); reason != ReasonNone {
 		return s.reject(ad, reason)
@@ -120,6 +115,19 @@
 	return ad
 }
 
+// findRoute sets the route and the limits of ad.
+func (s *State) findRoute(now boottime.Instant, host, path string, ad *Admission) Reason {
+	if s.table == nil {
+		return ReasonNoConfig
+	}
+	ad.HeaderLimit, ad.BodyLimit = s.table.Config().Limits.MaxHeaderBytes, s.table.Config().Limits.MaxBodyBytes
+	ad.Route = s.table.Route(host, path)
+	if ad.Route == nil {
+		return s.denialReason(now, ReasonNoRoute)
+	}
+	return ReasonNone
+}
+
 func (s *State) reject(ad Admission, r Reason) Admission {
 	ad.Reason = r
 	ad.RetryAfter = s.jitterRetryAfter(admissionRetryAfter)
@@ -135,8 +143,13 @@
 // authenticate resolves an API key to its workspace and sets the workspace and priority of ad.
 // Public routes are served without a valid key.
 func (s *State) authenticate(now boottime.Instant, key string, ad *Admission) Reason {
+	return s.authorize(now, key != "", s.table.Workspace(key), ad)
+}
+
+// authorize is authenticate for a key that belongs to a workspace, or to none if w is nil.
+func (s *State) authorize(now boottime.Instant, hasKey bool, w *routing.Workspace, ad *Admission) Reason {
 	ad.Priority = ad.Route.Priority
-	if !s.table.HasWorkspaces() || ad.Route.Public && key == "" {
+	if !s.table.HasWorkspaces() || ad.Route.Public && !hasKey {
 		return ReasonNone
 	}
 	if !s.freshEnoughForAuth(now) {
@@ -145,7 +158,6 @@
 		}
 		return ReasonStale
 	}
-	w := s.table.Workspace(key)
 	if w == nil {
 		if ad.Route.Public {
 			return ReasonNone
@@ -184,17 +196,32 @@
 // prompt prefix always go to the same service, so that they reuse the prompt caches of its
 // endpoints.
 func (s *State) pickService(r *routing.Route, affinity uint64) fleet.ServiceID {
-	total := 0.0
-	for _, t := range r.Targets {
-		total += t.Weight
-	}
+	total := totalWeight(r)
 	if len(r.Targets) == 1 || total <= 0 {
 		return r.Targets[0].Service
 	}
 	x := s.rng.Float64() * total
 	if affinity != 0 {
-		x = float64(fleet.Weight(affinity, fleet.Hash(r.Prefix))>>11) / (1 << 53) * total
+		x = affinityPoint(r, affinity) * total
+	}
+	return serviceAt(r, x)
+}
+
+func totalWeight(r *routing.Route) float64 {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
 	}
+	return total
+}
+
+// affinityPoint returns a number from 0 to 1 that takes the place of a random one for requests with an affinity.
+func affinityPoint(r *routing.Route, affinity uint64) float64 {
+	return float64(fleet.Weight(affinity, fleet.Hash(r.Prefix))>>11) / (1 << 53)
+}
+
+// serviceAt returns the service of a route in whose part of the total weight x lies.
+func serviceAt(r *routing.Route, x float64) fleet.ServiceID {
 	for _, t := range r.Targets {
 		if x -= t.Weight; x < 0 {
 			return t.Service
--- a/internal/control/cold.go
+++ b/internal/control/cold.go
@@ -13,7 +13,7 @@
 // coldStart holds the end of an endpoint's cold start and the recent sends of this process to it.
 type coldStart struct {
 	until       boottime.Instant
-	recentSends []boottime.Instant // send times within the last coldSendWindow, oldest first
+	recentSends []boottime.Instant // send times, oldest first; those before the coldSendWindow of the last one are dropped
 }
 
 // coldSendLimit returns how many requests this process may send to a cold endpoint per
--- a/internal/control/crashes.go
+++ b/internal/control/crashes.go
@@ -89,21 +89,44 @@
 // applyDecision restricts a placement to what may be done with its request, and returns a placement with a reason if the
 // request must not run now.
 func (s *State) applyDecision(now boottime.Instant, req PlacementRequest) (PlacementRequest, Placement) {
-	v, _ := s.decideShared(now, req.Shares, req.Service)
-	avoid := v.Avoid
-	if v.Action == crasher.Run {
-		v = s.decide(now, &req)
+	shared, _ := s.decideShared(now, req.Shares, req.Service)
+	own := shared
+	if shared.Action == crasher.Run {
+		own = s.decide(now, &req)
 	}
-	req.avoid = avoid
-	switch v.Action {
+	req, denied := restrict(req, shared, own)
+	if denied.RetryAfter > 0 {
+		denied.RetryAfter = s.jitterRetryAfter(denied.RetryAfter)
+	}
+	return req, denied
+}
+
+// peekDecision is applyDecision without effects: blocks that are due do not begin, and the retry-after is the mean.
+func (s *State) peekDecision(now boottime.Instant, req PlacementRequest) (PlacementRequest, Placement) {
+	var shared crasher.Decision
+	if s.crashes.detector.KnowsAny(req.Shares) {
+		shared, _ = s.crashes.detector.DecideShared(now, req.Shares, s.offer(now, req.Service))
+	}
+	own := shared
+	if shared.Action == crasher.Run {
+		own = s.crashes.detector.Decide(now, req.Request, s.offer(now, req.Service))
+	}
+	return restrict(req, shared, own)
+}
+
+// restrict restricts a placement by the decisions about what its request shares with others and about the request itself. A
+// rejection has the mean retry-after.
+func restrict(req PlacementRequest, shared, own crasher.Decision) (PlacementRequest, Placement) {
+	req.avoid = shared.Avoid
+	switch own.Action {
 	case crasher.Blocked:
 		return req, Placement{Reason: ReasonCrashesEndpoints}
 	case crasher.Pending:
-		return req, Placement{Reason: ReasonOnTrial, RetryAfter: s.jitterRetryAfter(trialRetryAfter), Pending: true}
+		return req, Placement{Reason: ReasonOnTrial, RetryAfter: trialRetryAfter, Pending: true}
 	case crasher.Waiting:
-		return req, Placement{Reason: ReasonOnTrial, RetryAfter: s.jitterRetryAfter(trialRetryAfter)}
+		return req, Placement{Reason: ReasonOnTrial, RetryAfter: trialRetryAfter}
 	case crasher.OnTrial:
-		req.onTrial, req.avoid = true, append(avoid, v.Avoid...)
+		req.onTrial, req.avoid = true, append(shared.Avoid, own.Avoid...)
 	}
 	return req, Placement{}
 }
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -54,6 +54,14 @@
 	return s.peerLoads.byEndpoint
 }
 
+// peekPeerCounts is peerCounts without effects.
+func (s *State) peekPeerCounts(now boottime.Instant) map[uint32]int {
+	if s.peerLoads.stale || s.peerLoads.byEndpoint == nil {
+		return s.mesh.InFlight(now)
+	}
+	return s.peerLoads.byEndpoint
+}
+
 // loadAt is State.load with the requests of the peers.
 func (e *endpoint) loadAt(now boottime.Instant, peerCounts map[uint32]int) int {
 	counted := e.inFlight + peerCounts[e.shortID()]
--- a/internal/control/soleversion.go
+++ b/internal/control/soleversion.go
@@ -89,13 +89,27 @@
 // soleVersion returns the only version that endpoints of a service have had for as long as a stream may last, as far as this
 // process knows, or 0.
 func (s *State) soleVersion(now boottime.Instant, service fleet.ServiceID) origin.Version {
+	return s.history(service).Sole(now, s.origins.streamLifetime, s.presentVersions(service))
+}
+
+// peekSoleVersion is soleVersion without effects.
+func (s *State) peekSoleVersion(now boottime.Instant, service fleet.ServiceID) origin.Version {
+	h := s.origins.histories[service]
+	if h == nil {
+		h = origin.NewHistory(s.origins.knownSince)
+	}
+	return h.PeekSole(now, s.origins.streamLifetime, s.presentVersions(service))
+}
+
+// presentVersions returns the versions of a service's endpoints.
+func (s *State) presentVersions(service fleet.ServiceID) []origin.Version {
 	var present []origin.Version
 	for _, e := range s.services[service] {
 		if e.listed || e.graceUntil != 0 {
 			present = append(present, e.version)
 		}
 	}
-	return s.history(service).Sole(now, s.origins.streamLifetime, present)
+	return present
 }
 
 // soleVersionOf returns the only version of all services of a route, or 0.
--- a/internal/control/version.go
+++ b/internal/control/version.go
@@ -84,15 +84,24 @@
 // StreamVersion returns the version at which a stream began that this process has forwarded events of, or 0 if it
 // is not certain. The endpoint is then asked for its incarnation.
 func (s *State) StreamVersion(now boottime.Instant, stream fleet.RequestID) origin.Version {
+	v, unproven := s.peekStreamVersion(now, stream)
+	if unproven != nil {
+		s.ask(now, unproven)
+	}
+	return v
+}
+
+// peekStreamVersion is StreamVersion without effects. It also returns the endpoint that is to be asked, or nil.
+func (s *State) peekStreamVersion(now boottime.Instant, stream fleet.RequestID) (origin.Version, *endpoint) {
 	r, ok := s.origins.table.Get(now, origin.ID(stream))
 	if !ok {
-		return 0
+		return 0, nil
 	}
 	v, proven := s.recordedVersion(now, r)
-	if !proven {
-		s.ask(now, s.endpointByShortID(r.Endpoint))
+	if proven {
+		return v, nil
 	}
-	return v
+	return v, s.endpointByShortID(r.Endpoint)
 }
 
 // LookUpOwnStream starts to find out what StreamVersion returns once the record of the stream is proven. The result is
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -67,5 +67,15 @@
 // Workspace returns the workspace that holds a key, or nil.
 func (t *Table) Workspace(key string) *Workspace { return t.workspacesByKey[key] }
 
+// WorkspaceByID returns a workspace, or nil.
+func (t *Table) WorkspaceByID(id fleet.WorkspaceID) *Workspace {
+	for i := range t.config.Workspaces {
+		if w := &t.config.Workspaces[i]; w.ID == id {
+			return w
+		}
+	}
+	return nil
+}
+
 // HasWorkspaces reports whether any workspace is published. Without one, requests need no key.
 func (t *Table) HasWorkspaces() bool { return len(t.config.Workspaces) > 0 }
