gateway: GET /place at the operators' address explains where a request would go

Operators need the explanation from a running gateway, without a request and without a key.

The query names host and path, and optionally workspace (its ID), service, model, parts, tokens, hint, deadline_ms and version.

--- a/internal/control/classify.go
+++ b/internal/control/classify.go
@@ -43,9 +43,6 @@
 	return exclusionNames[x]
 }
 
-// MarshalText implements encoding.TextMarshaler.
-func (x Exclusion) MarshalText() ([]byte, error) { return []byte(x.String()), nil }
-
 // candidate is an endpoint of a request's service.
 type candidate struct {
 	*endpoint
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -17,7 +17,12 @@
 	Path          string
 	Workspace     fleet.WorkspaceID // "": the check of the key is left out
 	CallerTimeout time.Duration     // 0: not given
-	// Placement is the request to place. If its Service is set, it is the one that is explained, of a route that has several.
+
+	// What the caller says of the request's size; 0: not given. No decision depends on it yet.
+	PromptTokens, SharedTokens, MaxOutputTokens, LengthHint int
+
+	// Placement is the request to place. If its Service is set, it is the one that is explained, of a route that has several;
+	// a service that the route does not have gives ReasonNoRoute.
 	Placement PlacementRequest
 }
 
@@ -42,6 +47,10 @@
 		return x
 	}
 	p := req.Placement
+	if p.Service != "" && !slices.Contains(ad.Route.Services(), p.Service) {
+		x.Service, x.Decision = p.Service, rejected(Placement{Reason: ReasonNoRoute})
+		return x
+	}
 	p.Service, x.Services = explainService(ad.Route, p)
 	x.Service = p.Service
 	s.explainPlacement(now, p, &x)
@@ -206,7 +215,7 @@
 
 func (s *State) explainEndpoint(now boottime.Instant, c *candidate, in placementInputs) EndpointExplanation {
 	e := EndpointExplanation{
-		Endpoint: c.ID, DataCentre: c.DataCentre, Version: c.Version, Excluded: c.excluded, Load: c.load, Unreported: c.unreported,
+		Endpoint: c.ID, DataCentre: c.DataCentre, Version: c.Version, Excluded: c.excluded.String(), Load: c.load, Unreported: c.unreported,
 		InFlight: c.inFlight, PeersInFlight: in.peerCounts[c.shortID()],
 	}
 	if until := c.excludedUntil(); until != 0 {
--- a/internal/control/explain_test.go
+++ b/internal/control/explain_test.go
@@ -99,7 +99,7 @@
 	x := s.Explain(now, ExplainRequest{Host: "h", Path: "/chat/x", Workspace: "w", Placement: PlacementRequest{Affinity: affinityOf(s.services["s"][3]), Tried: []fleet.EndpointID{"e-4"}}})
 	got := map[fleet.EndpointID]string{}
 	for _, e := range x.Endpoints {
-		got[e.Endpoint] = e.Excluded.String()
+		got[e.Endpoint] = e.Excluded
 	}
 	want := map[fleet.EndpointID]string{"e-0": "down", "e-1": "paused", "e-2": "leaving", "e-3": "bound", "e-4": "tried", "e-5": ""}
 	if !reflect.DeepEqual(got, want) || x.Decision.Endpoint != "e-5" || x.Endpoints[0].Endpoint != "e-5" || x.Rule != "affinity" {
@@ -171,6 +171,10 @@
 	if x.Service != "s" || !x.Decision.Random || len(x.Endpoints) != 6 {
 		t.Errorf("%+v", x)
 	}
+	x = s.Explain(now, ExplainRequest{Host: "h", Path: "/chat/x", Placement: PlacementRequest{Service: "other"}})
+	if x.Decision.Reason != "no_route" || len(x.Endpoints) != 0 {
+		t.Errorf("a service that the route does not have: %+v", x)
+	}
 }
 
 // TestExplainedConditions: a gateway that starts, or whose copy of the store is old, says so, and rejects as Admit does.
--- a/internal/control/explanation.go
+++ b/internal/control/explanation.go
@@ -12,6 +12,7 @@
 	Conditions []Condition        `json:"conditions"` // of the gateway, that make the answer less reliable
 	Revision   fleet.Revision     `json:"revision"`   // of the store
 	StoreAgeMS int64              `json:"store_age_ms"`
+	WaitedMS   int64              `json:"waited_ms"` // for a turn of the control loop; set by the process
 
 	Route          string              `json:"route,omitempty"`
 	Kind           string              `json:"kind,omitempty"`
@@ -93,9 +94,9 @@
 	Endpoint      fleet.EndpointID      `json:"endpoint"`
 	DataCentre    fleet.DataCentreID    `json:"data_centre"`
 	Version       fleet.SoftwareVersion `json:"version,omitempty"`
-	Rank          *int                  `json:"rank,omitempty"`  // position in the order of the request's affinity, from 0
-	Share         *float64              `json:"share,omitempty"` // probability in a random choice
-	Excluded      Exclusion             `json:"excluded,omitempty"`
+	Rank          *int                  `json:"rank,omitempty"`            // position in the order of the request's affinity, from 0
+	Share         *float64              `json:"share,omitempty"`           // probability in a random choice
+	Excluded      string                `json:"excluded,omitempty"`        // see Exclusion.String
 	ExcludedForMS int64                 `json:"excluded_for_ms,omitempty"` // until the exclusion ends, if that is known
 	Load          int                   `json:"load"`                      // estimated requests of the fleet
 	Unreported    int                   `json:"unreported"`                // estimated requests that Load lacks, as the decision counts them
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -20,6 +20,7 @@
 	r := chi.NewRouter()
 	r.Method(http.MethodGet, "/metrics", p.metrics.Handler())
 	r.Get("/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.dump()) })
+	r.Get("/place", p.placeHandler())
 	r.Get("/blocked", p.serveBlocked)
 	r.Delete("/blocked/{blocked}", p.liftBlock)
 	return r
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -52,7 +52,7 @@
 		c.reject(http.StatusBadRequest, err.Error())
 		return
 	}
-	c.affinityKey = promptAffinity(meta.Prompt)
+	c.affinityKey = PromptAffinity(meta.Prompt)
 	c.admit()
 	c.boundWrites(max(c.deadline.Sub(c.arrivedAt), meta.CallerTimeout))
 	if c.admission.Reason != control.ReasonNone {
@@ -102,10 +102,10 @@
 	}
 }
 
-// promptAffinity returns the affinity key of a prompt: a hash of its last shared part and the
+// PromptAffinity returns the affinity key of a prompt: a hash of its last shared part and the
 // number of shared parts, or 0 without a prompt. All parts but the last are shared with other
 // requests; if there is only one part, it counts as shared.
-func promptAffinity(prompt []PromptPart) uint64 {
+func PromptAffinity(prompt []PromptPart) uint64 {
 	if len(prompt) == 0 {
 		return 0
 	}
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 )
 
@@ -17,6 +19,24 @@
 	Tokens int
 }
 
+// ParsePrompt returns the parts of a comma-separated list of ID:TOKENS, with the IDs in hexadecimal.
+func ParsePrompt(v string) ([]PromptPart, error) {
+	if v == "" {
+		return nil, nil
+	}
+	var parts []PromptPart
+	for entry := range strings.SplitSeq(v, ",") {
+		id, tokens, _ := strings.Cut(strings.TrimSpace(entry), ":")
+		n, errID := strconv.ParseUint(id, 16, 64)
+		t, errTokens := strconv.Atoi(tokens)
+		if errID != nil || errTokens != nil || t < 0 {
+			return nil, errors.Errorf("the entry %q, want ID:TOKENS", entry)
+		}
+		parts = append(parts, PromptPart{ID: n, Tokens: t})
+	}
+	return parts, nil
+}
+
 // maxLoggedParts bounds the parts of a prompt that are logged.
 const maxLoggedParts = 16
 
