cli: dandelionvane place shows where a request would go, at one gateway or at all

Scripts and people on call need the answer of GET /place without writing URLs.

There is no flag for a key. Errors of the operators' address now include the start of the answer's text.

testdata/place.txtar runs the command against two fake gateways and one that is down.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -46,6 +46,7 @@
 	for _, c := range []subcommands.Command{
 		&dumpCommand{operatorCommand{env: env}},
 		&explainCommand{operatorCommand: operatorCommand{env: env}},
+		&placeCommand{env: env},
 		&blockedCommand{operatorCommand: operatorCommand{env: env}},
 	} {
 		cdr.Register(c, "inspecting a running router")
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -73,11 +73,13 @@
 func TestScripts(t *testing.T) {
 	srv := httptest.NewServer(http.HandlerFunc(serveOperator))
 	t.Cleanup(srv.Close) // the scripts run in parallel, after this function has returned
+	placeAddr := startPlaceFleet(t)
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata",
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("OPERATOR", strings.TrimPrefix(srv.URL, "http://"))
+			env.Setenv("PLACE", placeAddr)
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exitcode": exitCode},
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -32,9 +32,9 @@
 variable ` + platform.SettingsVariable + `, until SIGTERM or SIGINT, which start a planned stop.
 The file is reloaded within two seconds of a change, and on SIGHUP.
 
-Logs go to standard output. With --metrics-port, GET /metrics, GET /dump and the calls of the
-blocked command are served on that port, at the IP address on which the process serves other
-gateways.
+Logs go to standard output. With --metrics-port, GET /metrics, GET /dump, GET /place and the
+calls of the blocked command are served on that port, at the IP address on which the process
+serves other gateways.
 
 Flags:
 `
@@ -42,7 +42,7 @@
 
 // SetFlags implements subcommands.Command.
 func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
-	f.UintVar(&c.metricsPort, "metrics-port", 0, "TCP port for metrics, the state dump and the blocked command; 0 disables it")
+	f.UintVar(&c.metricsPort, "metrics-port", 0, "TCP port for metrics, the state dump, and the place and blocked commands; 0 disables it")
 }
 
 func (c *gatewayCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -72,6 +72,9 @@
 	case http.StatusNotFound:
 		return nil, notFoundError{detail(resp.Body)}
 	default:
+		if text := detail(resp.Body); text != "" {
+			return nil, errors.Errorf("%s answered %s: %s", req.URL, resp.Status, text)
+		}
 		return nil, errors.Errorf("%s answered %s", req.URL, resp.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxOperatorResponseBytes+1))
@@ -91,9 +94,12 @@
 }
 
 // operatorAddrProblem returns a description of the problem with an operator listener's address, or "" if it is valid.
-func operatorAddrProblem(addr string) string {
+func operatorAddrProblem(addr string) string { return addrProblem("operator", addr) }
+
+// addrProblem is operatorAddrProblem for the address in a named flag.
+func addrProblem(flag, addr string) string {
 	if _, err := netip.ParseAddrPort(addr); err != nil {
-		return "--operator is not IP:PORT, as in 127.0.0.1:9090"
+		return "--" + flag + " is not IP:PORT, as in 127.0.0.1:9090"
 	}
 	return ""
 }
--- a/internal/control/explanation.go
+++ b/internal/control/explanation.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 )
 
@@ -113,3 +115,15 @@
 	Reason       string           `json:"reason,omitempty"`         // of a rejection
 	RetryAfterMS int64            `json:"retry_after_ms,omitempty"` // mean; the actual one differs by up to a quarter
 }
+
+// Drawn returns the endpoints that a random choice may pick, in the order of their IDs.
+func (x *Explanation) Drawn() []fleet.EndpointID {
+	var out []fleet.EndpointID
+	for _, e := range x.Endpoints {
+		if e.Share != nil && *e.Share > 0 {
+			out = append(out, e.Endpoint)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
