--- a/internal/cli/placetable.go
+++ b/internal/cli/placetable.go
@@ -109,7 +109,11 @@
 		w.endpoints(x.Endpoints)
 		w.line("")
 	}
-	w.line("%s", decisionText(x))
+	prefix := "decision: "
+	if x.Decision.Reason != "" {
+		prefix = ""
+	}
+	w.line("%s%s", prefix, decisionText(x))
 	return w.err
 }
 
@@ -186,9 +190,9 @@
 	d := &x.Decision
 	switch {
 	case d.Endpoint != "":
-		return "decision: " + string(d.Endpoint)
+		return string(d.Endpoint)
 	case d.Random:
-		return fmt.Sprintf("decision: one of %d endpoints at random, by share", len(x.Drawn()))
+		return fmt.Sprintf("one of %d endpoints at random, by share", len(x.Drawn()))
 	case d.RetryAfterMS > 0:
 		return fmt.Sprintf("rejected: %s, Retry-After about %.2f s", d.Reason, float64(d.RetryAfterMS)/1000)
 	default:
