--- a/internal/gateway/place_test.go
+++ b/internal/gateway/place_test.go
@@ -107,3 +107,18 @@
 		t.Errorf("status %d: %s", w.Code, w.Body.String())
 	}
 }
+
+// TestPlaceQueryOfBusyGateway: a query that waited for longer than a tick says that the gateway is busy.
+func TestPlaceQueryOfBusyGateway(t *testing.T) {
+	p, h := startOperatorListener(t)
+	running := make(chan struct{})
+	go p.loop.Do(func(*control.State, boottime.Instant) {
+		close(running)
+		time.Sleep(12 * tickInterval) // long enough for the query to arrive meanwhile
+	})
+	<-running
+	x := explanation(t, h, "/place?host=h&path=/")
+	if !slices.Contains(x.Conditions, control.ConditionBusy) || x.WaitedMS == 0 {
+		t.Errorf("%+v", x)
+	}
+}
