--- a/internal/contention/admit.go
+++ b/internal/contention/admit.go
@@ -67,7 +67,7 @@
 	}
 	c.sample.expire(now, &c.opts)
 	o.preferred = c.mayPrefer(&r)
-	o.key = c.markShare(c.key(&r, o.preferred), o.workspace, o.variate)
+	o.key = c.markShare(c.key(&r, o.preferred), c.shares.within(o.workspace), o.variate)
 	before, same, notLater := 0, 0, 0
 	for i := range c.sample.len {
 		k := c.sample.at(i).key
@@ -156,7 +156,7 @@
 // The jitter stays between the bounds, since a value that many callers are cut to would bring
 // them back at the same time.
 func (c *Controller) retryAfter(now boottime.Instant, r *Request) time.Duration {
-	mean := (1/c.loop.share - 1) * float64(now.Sub(c.loop.since))
+	mean := (1/max(c.loop.share, c.opts.MinShare) - 1) * float64(now.Sub(c.loop.since))
 	mean = min(max(mean, float64(c.opts.MinRetryAfter)), float64(c.opts.MaxRetryAfter))
 	low := max(mean/2, float64(c.opts.MinRetryAfter))
 	high := min(mean*3/2, float64(c.opts.MaxRetryAfter))
--- a/internal/contention/loop.go
+++ b/internal/contention/loop.go
@@ -82,9 +82,8 @@
 	if !l.contended {
 		return
 	}
-	excess := (u - l.target) * l.hold.Seconds() / l.opts.DrainTime.Seconds()
-	l.share = (1 - max(excess, -l.opts.MaxRaise)) / l.demand
-	l.share = min(max(l.share, l.opts.MinShare), 1)
+	l.share = (1 - l.proportional()) / l.demand
+	l.share = min(max(l.share, 0), 1)
 	if l.share < 1 {
 		l.reduced = now
 	} else if now.Sub(l.reduced) >= l.opts.EndAfter {
@@ -93,6 +92,19 @@
 	l.at(0).share = l.share
 }
 
+// proportional returns the part by which the inflow is to be below the capacity. The quadratic term stops the
+// inflow while the excess wait does not drain within the longest delay, which cannot leave slots
+// idle; near the target it is negligible.
+func (l *loop) proportional() float64 {
+	excess := (l.utilization - l.target) * l.hold.Seconds()
+	p := excess / l.opts.DrainTime.Seconds()
+	if excess <= 0 {
+		return max(p, -l.opts.MaxRaise)
+	}
+	far := excess / l.opts.MaxDelay.Seconds()
+	return min(p+far*far, 1)
+}
+
 // estimateDemand updates the estimate of the demand from the observed inflow: the work that endpoints
 // have done plus the growth of their queues.
 func (l *loop) estimateDemand(now boottime.Instant, elapsed float64) {
@@ -111,14 +123,14 @@
 	inflow := max(busy/float64(n)+growth, 0)
 
 	low, high := l.sharesWithin(now, l.opts.MinDelay, l.opts.MaxDelay)
-	bounded := min(max(l.demand, inflow/high), inflow/low)
+	bounded := min(max(l.demand, inflow/max(high, l.opts.MinShare)), inflow/max(low, l.opts.MinShare))
 	l.demand += (bounded - l.demand) * min(1, elapsed/l.opts.DemandTime.Seconds())
+	undrained := min(max((inflow-0.8)/0.2, 0), 1) // 0 while queues shrink fast
 	if l.demand > 1 {
-		l.demand -= (l.demand - 1) * min(1, elapsed*l.opts.LeakRate)
+		l.demand -= (l.demand - 1) * min(1, elapsed*l.opts.LeakRate*undrained)
 	}
 	// Full queues at endpoints hide the demand: what they refuse does not raise the utilization.
 	if over := min(l.utilization/l.target-1, 1); over > 0 {
-		undrained := min(max((inflow-0.8)/0.2, 0), 1)
 		l.demand *= math.Exp(l.opts.IntegralRate * over * undrained * elapsed)
 	}
 	l.demand = min(max(l.demand, 1e-3), l.opts.MaxDemand)
--- a/internal/contention/options.go
+++ b/internal/contention/options.go
@@ -61,7 +61,7 @@
 		MaxSlope:       400 * time.Millisecond,
 		DrainTime:      time.Second,
 		MaxRaise:       0.15,
-		DemandTime:     200 * time.Millisecond,
+		DemandTime:     100 * time.Millisecond,
 		IntegralRate:   1.5,
 		LeakRate:       0.3,
 		MaxDemand:      50,
--- a/internal/contention/shares.go
+++ b/internal/contention/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -19,6 +20,7 @@
 	admitted int     // of them
 	marginal int     // of the sample, at the marginal level
 	offered  float64 // corrected estimate of marginal
+	known    bool    // offered follows from the fleet's running requests
 	within   float64 // part of it that is within the workspace's share
 }
 
@@ -29,7 +31,9 @@
 	uses     map[uint32]*workspaceUse // of the workspaces of the sample
 	order    []uint32                 // keys of uses, in the order of the sample
 	offered  []float64
-	marginal uint32 // level
+	marginal uint32  // level
+	limit    float64 // of what a workspace offers at that level: the max-min fair share, in requests of the sample
+	most     float64 // that a workspace offers which is not among the largest of the fleet
 }
 
 func (s *shares) set(now boottime.Instant, loads map[uint32]int, opts *Options) {
@@ -46,11 +50,17 @@
 }
 
 // within returns the part of a workspace's requests at the marginal level that is within its share.
+// A further request of a small workspace counts like those of the sample, or
+// workspaces that are not in the sample would always be within their shares.
 func (s *shares) within(workspace uint32) float64 {
+	offered := 1.0
 	if u := s.uses[workspace]; u != nil {
-		return u.within
+		if u.known {
+			return u.within
+		}
+		offered += u.offered
 	}
-	return 1
+	return min(1, s.limit/min(offered, s.most))
 }
 
 // updateShares computes the workspaces' shares of what is admitted at the marginal level, and from them the keys of the
@@ -93,17 +103,18 @@
 			s.offered = append(s.offered, u.offered)
 		}
 	}
+	s.limit = math.Inf(1)
 	if n := counts[s.marginal]; n > 0 {
-		limit := maxMin(s.offered, total*room/float64(n))
-		for _, w := range s.order {
-			if u := s.uses[w]; u.offered > limit {
-				u.within = limit / u.offered
-			}
+		s.limit = maxMin(s.offered, total*room/float64(n))
+	}
+	for _, w := range s.order {
+		if u := s.uses[w]; u.offered > s.limit {
+			u.within = s.limit / u.offered
 		}
 	}
 	for i := range c.sample.len {
 		o := c.sample.at(i)
-		o.key = c.markShare(o.key, o.workspace, o.variate)
+		o.key = c.markShare(o.key, s.uses[o.workspace].within, o.variate)
 	}
 }
 
@@ -112,42 +123,46 @@
 // largest workspaces and bound those of the others.
 func (c *Controller) correctOffered(now boottime.Instant, load float64) {
 	s := &c.shares
+	s.most = math.Inf(1)
 	for _, w := range s.order {
 		s.uses[w].offered = float64(s.uses[w].marginal)
 	}
 	if len(s.fleet) == 0 || load <= 0 || now.Sub(s.fleetAt) > c.opts.WorkspacesTTL {
 		return
 	}
-	perRunning := float64(c.sample.len) / load * c.loop.share
+	share := max(c.loop.share, c.opts.MinShare)
+	perRunning := float64(c.sample.len) / load * share
 	smallest := 0
 	if len(s.fleet) == c.opts.MaxWorkspaces {
 		smallest = s.fleet[len(s.fleet)-1].running
 	}
-	limit := max(1, perRunning*float64(smallest)/c.loop.share)
+	s.most = max(1, perRunning*float64(smallest)/share)
 	for _, w := range s.order {
 		u := s.uses[w]
-		u.offered *= min(1, limit/float64(u.requests))
+		u.offered *= min(1, s.most/float64(u.requests))
 	}
 	const prior = 2 // requests of the admitted share, against divisions by small counts
 	for _, w := range s.fleet {
 		if u := s.uses[w.workspace]; u != nil {
-			admitted := (float64(u.admitted) + prior*c.loop.share) / float64(u.requests+prior)
+			admitted := (float64(u.admitted) + prior*share) / float64(u.requests+prior)
 			offered := perRunning * float64(w.running) / admitted
-			u.offered = offered * float64(u.marginal) / float64(u.requests)
+			u.offered, u.known = offered*float64(u.marginal)/float64(u.requests), true
 		}
 	}
 }
 
-// markShare returns the key of a request with its mark set if it is above its workspace's share.
-func (c *Controller) markShare(key, workspace uint32, variate float32) uint32 {
+// markShare returns the key of a request with its mark set if it is above its workspace's share, of which
+// the given part of the workspace's requests is within.
+func (c *Controller) markShare(key uint32, within float64, variate float32) uint32 {
 	key &^= aboveBit
-	if key>>levelShift == c.shares.marginal && float64(variate) >= c.shares.within(workspace) {
+	if key>>levelShift == c.shares.marginal && float64(variate) >= within {
 		key |= aboveBit
 	}
 	return key
 }
 
-// maxMin returns the limit at which the sum of min(offered, limit) is the amount. It sorts offered.
+// maxMin returns the limit at which the sum of min(offered, limit) is the amount, infinity if the amount
+// covers everything. It sorts offered.
 func maxMin(offered []float64, amount float64) float64 {
 	slices.Sort(offered)
 	for i, o := range offered {
@@ -156,12 +171,5 @@
 		}
 		amount -= o
 	}
-	return max(amount, 0) + sumMax(offered)
-}
-
-func sumMax(sorted []float64) float64 {
-	if len(sorted) == 0 {
-		return 0
-	}
-	return sorted[len(sorted)-1]
+	return math.Inf(1)
 }
