--- a/internal/contention/admit.go
+++ b/internal/contention/admit.go
@@ -153,16 +153,18 @@
 }
 
 // retryAfter returns the time in which the excess that has been turned away drains, with jitter.
-// The jitter stays between the bounds, since a value that many callers are cut to would bring
-// them back at the same time.
+// The jitter stays between the bounds and below the part of the time left, since a value that many callers
+// are cut to would bring them back at the same time.
 func (c *Controller) retryAfter(now boottime.Instant, r *Request) time.Duration {
 	mean := (1/max(c.loop.share, c.opts.MinShare) - 1) * float64(now.Sub(c.loop.since))
 	mean = min(max(mean, float64(c.opts.MinRetryAfter)), float64(c.opts.MaxRetryAfter))
 	low := max(mean/2, float64(c.opts.MinRetryAfter))
 	high := min(mean*3/2, float64(c.opts.MaxRetryAfter))
-	after := low + c.rng.Float64()*(high-low)
 	if r.TimeLeft != 0 {
-		after = min(after, c.opts.RetryTimeShare*float64(max(r.TimeLeft, 0)))
+		high = min(high, c.opts.RetryTimeShare*float64(max(r.TimeLeft, 0)))
+		if low > high {
+			low = high / 2
+		}
 	}
-	return time.Duration(after)
+	return time.Duration(low + c.rng.Float64()*(high-low))
 }
--- a/internal/contention/loop.go
+++ b/internal/contention/loop.go
@@ -124,7 +124,9 @@
 
 	low, high := l.sharesWithin(now, l.opts.MinDelay, l.opts.MaxDelay)
 	bounded := min(max(l.demand, inflow/max(high, l.opts.MinShare)), inflow/max(low, l.opts.MinShare))
-	l.demand += (bounded - l.demand) * min(1, elapsed/l.opts.DemandTime.Seconds())
+	// While little is admitted, the inflow is a small difference of large numbers.
+	weight := min(1, max(inflow, high*l.demand))
+	l.demand += (bounded - l.demand) * weight * weight * min(1, elapsed/l.opts.DemandTime.Seconds())
 	undrained := min(max((inflow-0.8)/0.2, 0), 1) // 0 while queues shrink fast
 	if l.demand > 1 {
 		l.demand -= (l.demand - 1) * min(1, elapsed*l.opts.LeakRate*undrained)
--- a/internal/contention/options.go
+++ b/internal/contention/options.go
@@ -29,10 +29,13 @@
 
 	Window            time.Duration // age of the gateway's requests that a request is ranked among
 	MinSample         int           // of requests; missing ones count as equals of the request
-	MaxSampleAge      time.Duration // age up to which requests complete a sample that is below MinSample
+	FullSample        int           // a smaller sample keeps requests that are older than Window
+	MaxSampleAge      time.Duration // age up to which it keeps them
 	TimeStep          time.Duration // resolution of the order by time left
 	ReturningBelow    float64       // of the usual time limit: a caller with less time left has returned
 	ReturningFraction float64       // of what is admitted at a priority: limit of the precedence of returning callers
+	ShareMargin       float64       // of what is admitted at a priority: not counted in the shares, so that the variation of a sample does not reach workspaces below their share
+	MinLimit          float64       // of requests of the sample: fewer do not show that a workspace is above its share
 	WorkspacesTTL     time.Duration // age up to which the workspaces' loads are used
 	MaxWorkspaces     int           // workspaces whose loads are used, the largest first
 
@@ -70,10 +73,13 @@
 
 		Window:            2 * time.Second,
 		MinSample:         20,
+		FullSample:        48,
 		MaxSampleAge:      10 * time.Second,
 		TimeStep:          100 * time.Millisecond,
 		ReturningBelow:    0.75,
 		ReturningFraction: 0.25,
+		ShareMargin:       0.2,
+		MinLimit:          2,
 		WorkspacesTTL:     2 * time.Second,
 		MaxWorkspaces:     16,
 
--- a/internal/contention/sample.go
+++ b/internal/contention/sample.go
@@ -40,7 +40,7 @@
 func (s *requestSample) expire(now boottime.Instant, opts *Options) {
 	for s.len > 0 {
 		age := now.Sub(s.at(0).at)
-		if age <= opts.Window || age <= opts.MaxSampleAge && s.len <= opts.MinSample {
+		if age <= opts.Window || age <= opts.MaxSampleAge && s.len <= opts.FullSample {
 			return
 		}
 		s.start = (s.start + 1) % sampleSize
--- a/internal/contention/shares.go
+++ b/internal/contention/shares.go
@@ -105,7 +105,7 @@
 	}
 	s.limit = math.Inf(1)
 	if n := counts[s.marginal]; n > 0 {
-		s.limit = maxMin(s.offered, total*room/float64(n))
+		s.limit = max(maxMin(s.offered, total*room/float64(n)*(1-c.opts.ShareMargin)), c.opts.MinLimit)
 	}
 	for _, w := range s.order {
 		if u := s.uses[w]; u.offered > s.limit {
