contention: the fleet's loads weigh a gateway's sample

Cause: one gateway sees ten requests of a service in two seconds; the part of a large workspace in them is mostly chance. Change: requests of the sample are weighed by what the largest workspaces offer to the fleet.

--- a/internal/contention/admit.go
+++ b/internal/contention/admit.go
@@ -59,7 +59,7 @@
 // Admit counts a request and decides whether it is admitted.
 func (c *Controller) Admit(now boottime.Instant, r Request) Decision {
 	c.sample.sequence++
-	o := observed{at: now, workspace: r.Workspace, variate: variate(c.seed, c.sample.sequence), admitted: true}
+	o := observed{at: now, workspace: r.Workspace, weight: 1, variate: variate(c.seed, c.sample.sequence), admitted: true}
 	if !c.contended(now) {
 		o.key = c.key(&r, false)
 		c.sample.push(o)
@@ -68,27 +68,31 @@
 	c.sample.expire(now, &c.opts)
 	o.preferred = c.mayPrefer(&r)
 	o.key = c.markShare(c.key(&r, o.preferred), c.shares.within(o.workspace), o.variate)
-	before, same, notLater := 0, 0, 0
+	o.weight = c.shares.weight(o.workspace)
+	var before, same, notLater float32
+	total := o.weight
 	for i := range c.sample.len {
-		k := c.sample.at(i).key
-		if k < o.key {
-			before++
-		} else if k == o.key {
-			same++
+		e := c.sample.at(i)
+		total += e.weight
+		if e.key < o.key {
+			before += e.weight
+		} else if e.key == o.key {
+			same += e.weight
 		}
-		if k>>levelShift <= o.key>>levelShift {
-			notLater++
+		if e.key>>levelShift <= o.key>>levelShift {
+			notLater += e.weight
 		}
 	}
-	total := max(c.sample.len+1, c.opts.MinSample)
-	missing := total - c.sample.len // the request itself and, in a small sample, its assumed equals
-	same += missing
-	d := Decision{Rank: min(before*rankScale/total, rankScale-1)}
-	if c.startsTooLate(&r, float64(notLater+missing)/float64(total)) {
+	own := o.weight // of the request and, in a small sample, of its assumed equals
+	if missing := float32(c.opts.MinSample) - total; missing > 0 {
+		own, total = own+missing, total+missing
+	}
+	d := Decision{Rank: min(int(before/total*rankScale), rankScale-1)}
+	if c.startsTooLate(&r, float64((notLater+own)/total)) {
 		d.Reason, d.RetryAfter = ReasonDeadline, c.retryAfter(now, &r)
 		return d
 	}
-	chance := (c.loop.share*float64(total) - float64(before)) / float64(same)
+	chance := (c.loop.share*float64(total) - float64(before)) / float64(same+own)
 	chance = max(chance, c.opts.MinShare)
 	d.Admitted = chance >= 1 || c.rng.Float64() < chance
 	if !d.Admitted {
--- a/internal/contention/admit_test.go
+++ b/internal/contention/admit_test.go
@@ -26,7 +26,7 @@
 	for i := range 800 {
 		now = now.Add(25 * time.Millisecond)
 		c.loop.updated, c.loop.share = now, share
-		c.updateShares(now, 120)
+		c.updateShares(now, 120, 0.025)
 		class, r := next(i)
 		d := c.Admit(now, r)
 		if i < 80 {
--- a/internal/contention/controller.go
+++ b/internal/contention/controller.go
@@ -34,10 +34,11 @@
 // and the shortest latency goal of the service's routes.
 // Without a usable load or slots, everything is admitted.
 func (c *Controller) Update(now boottime.Instant, load float64, slots int, serviceTime, goal time.Duration) {
+	elapsed := now.Sub(c.loop.updated)
 	c.loop.update(now, load, slots, serviceTime, goal)
 	if c.contended(now) {
 		c.sample.expire(now, &c.opts)
-		c.updateShares(now, load)
+		c.updateShares(now, load, min(elapsed, c.opts.UpdateTimeout).Seconds())
 	}
 }
 
--- a/internal/contention/loop.go
+++ b/internal/contention/loop.go
@@ -30,6 +30,7 @@
 	hold        time.Duration // service time used by the model
 	demand      float64       // estimate, in multiples of the capacity
 	share       float64       // to admit; 1 while not contended
+	average     float64       // of the share, over the time for which requests run
 	contended   bool
 	since       boottime.Instant // beginning of the contention
 	reduced     boottime.Instant // when the share was last below 1
@@ -47,7 +48,7 @@
 
 // reset forgets everything; nothing is contended.
 func (l *loop) reset() {
-	*l = loop{opts: l.opts, target: 1, demand: 1, share: 1}
+	*l = loop{opts: l.opts, target: 1, demand: 1, share: 1, average: 1}
 }
 
 // update sets the share for a new utilization.
@@ -77,7 +78,7 @@
 	l.estimateDemand(now, elapsed.Seconds())
 
 	if !l.contended && u > l.target {
-		l.contended, l.since, l.reduced = true, now, now
+		l.contended, l.since, l.reduced, l.average = true, now, now, 1
 	}
 	if !l.contended {
 		return
--- a/internal/contention/options.go
+++ b/internal/contention/options.go
@@ -37,6 +37,8 @@
 	ShareMargin       float64       // of what is admitted at a priority: not counted in the shares, so that the variation of a sample does not reach workspaces below their share
 	MinLimit          float64       // of requests of the sample: fewer do not show that a workspace is above its share
 	WorkspacesTTL     time.Duration // age up to which the workspaces' loads are used
+	MaxWeight         float64       // limit of the correction of a small sample by the fleet's loads
+	LoadAge           time.Duration // usual age of the workspaces' loads
 	MaxWorkspaces     int           // workspaces whose loads are used, the largest first
 
 	// Rejections.
@@ -66,21 +68,23 @@
 		MaxRaise:       0.15,
 		DemandTime:     100 * time.Millisecond,
 		IntegralRate:   1.5,
-		LeakRate:       0.3,
+		LeakRate:       0.6,
 		MaxDemand:      50,
 		MinShare:       0.05,
 		EndAfter:       time.Second,
 
 		Window:            2 * time.Second,
 		MinSample:         20,
-		FullSample:        48,
-		MaxSampleAge:      10 * time.Second,
+		FullSample:        40,
+		MaxSampleAge:      5 * time.Second,
 		TimeStep:          100 * time.Millisecond,
 		ReturningBelow:    0.75,
 		ReturningFraction: 0.25,
 		ShareMargin:       0.2,
 		MinLimit:          2,
 		WorkspacesTTL:     2 * time.Second,
+		MaxWeight:         4,
+		LoadAge:           300 * time.Millisecond,
 		MaxWorkspaces:     16,
 
 		MinPatience:    2 * time.Second,
--- a/internal/contention/sample.go
+++ b/internal/contention/sample.go
@@ -13,6 +13,7 @@
 	at        boottime.Instant
 	key       uint32 // position in the order
 	workspace uint32
+	weight    float32 // in counts of the sample, see Controller.weigh
 	variate   float32 // in [0, 1): the request is within its workspace's share if below the part that is
 	preferred bool    // ordered as a returning caller
 	admitted  bool
--- a/internal/contention/shares.go
+++ b/internal/contention/shares.go
@@ -12,18 +12,21 @@
 type workspaceLoad struct {
 	workspace uint32
 	running   int
+	admitted  float64 // part of its requests that was admitted when the running ones were
 }
 
-// workspaceUse is what a workspace offers at the marginal level, the level that is partly admitted.
+// workspaceUse is what a workspace offers. The marginal level is the one that is partly admitted.
 type workspaceUse struct {
 	requests int     // of the sample, at all levels
-	admitted int     // of them
-	marginal int     // of the sample, at the marginal level
-	offered  float64 // corrected estimate of marginal
-	known    bool    // offered follows from the fleet's running requests
-	within   float64 // part of it that is within the workspace's share
+	sure     int     // of them, at levels that are completely admitted
+	marginal int     // of them, at the marginal level
+	weight   float64 // of each of them
+	known    bool    // the weight follows from the fleet's running requests
+	within   float64 // part of those at the marginal level that is within the workspace's share
 }
 
+func (u *workspaceUse) offered() float64 { return float64(u.marginal) * u.weight }
+
 // shares holds the max-min fair shares of the workspaces.
 type shares struct {
 	fleet    []workspaceLoad // descending
@@ -32,121 +35,169 @@
 	order    []uint32                 // keys of uses, in the order of the sample
 	offered  []float64
 	marginal uint32  // level
-	limit    float64 // of what a workspace offers at that level: the max-min fair share, in requests of the sample
-	most     float64 // that a workspace offers which is not among the largest of the fleet
+	limit    float64 // of what a workspace offers at that level, in requests of the sample
+	others   float64 // weight of requests of workspaces that are not among the largest of the fleet
 }
 
 func (s *shares) set(now boottime.Instant, loads map[uint32]int, opts *Options) {
+	previous := slices.Clone(s.fleet)
 	s.fleet, s.fleetAt = s.fleet[:0], now
 	for w, n := range loads {
 		if n > 0 {
-			s.fleet = append(s.fleet, workspaceLoad{w, n})
+			s.fleet = append(s.fleet, workspaceLoad{w, n, 1})
 		}
 	}
 	slices.SortFunc(s.fleet, func(a, b workspaceLoad) int {
 		return cmp.Or(cmp.Compare(b.running, a.running), cmp.Compare(a.workspace, b.workspace))
 	})
 	s.fleet = s.fleet[:min(len(s.fleet), opts.MaxWorkspaces)]
+	for i := range s.fleet {
+		for _, p := range previous {
+			if p.workspace == s.fleet[i].workspace {
+				s.fleet[i].admitted = p.admitted
+			}
+		}
+	}
 }
 
 // within returns the part of a workspace's requests at the marginal level that is within its share.
 // A further request of a small workspace counts like those of the sample, or
 // workspaces that are not in the sample would always be within their shares.
 func (s *shares) within(workspace uint32) float64 {
-	offered := 1.0
+	offered := s.others
 	if u := s.uses[workspace]; u != nil {
 		if u.known {
 			return u.within
 		}
-		offered += u.offered
+		offered += u.offered()
+	}
+	return min(1, s.limit/offered)
+}
+
+// weight returns the weight of a further request of a workspace.
+func (s *shares) weight(workspace uint32) float32 {
+	if u := s.uses[workspace]; u != nil {
+		return float32(u.weight)
 	}
-	return min(1, s.limit/min(offered, s.most))
+	return float32(s.others)
 }
 
 // updateShares computes the workspaces' shares of what is admitted at the marginal level, and from them the keys of the
 // sample.
-func (c *Controller) updateShares(now boottime.Instant, load float64) {
+func (c *Controller) updateShares(now boottime.Instant, load, elapsed float64) {
 	s := &c.shares
-	var counts [levels]int
 	s.uses, s.order = map[uint32]*workspaceUse{}, s.order[:0]
 	for i := range c.sample.len {
-		counts[c.sample.at(i).key>>levelShift]++
-	}
-	room := c.loop.share * float64(c.sample.len)
-	s.marginal = 0
-	for int(s.marginal) < levels-1 && room >= float64(counts[s.marginal]) {
-		room -= float64(counts[s.marginal])
-		s.marginal++
-	}
-	for i := range c.sample.len {
-		o := c.sample.at(i)
-		u := s.uses[o.workspace]
+		w := c.sample.at(i).workspace
+		u := s.uses[w]
 		if u == nil {
-			u = &workspaceUse{within: 1}
-			s.uses[o.workspace] = u
-			s.order = append(s.order, o.workspace)
+			u = &workspaceUse{weight: 1, within: 1}
+			s.uses[w] = u
+			s.order = append(s.order, w)
 		}
 		u.requests++
-		if o.admitted {
-			u.admitted++
-		}
-		if o.key>>levelShift == s.marginal {
-			u.marginal++
-		}
 	}
-	c.correctOffered(now, load)
+	c.weigh(now, load)
+
+	var counts [levels]float64
 	total := 0.0
-	s.offered = s.offered[:0]
-	for _, w := range s.order {
-		if u := s.uses[w]; u.marginal > 0 {
-			total += u.offered
-			s.offered = append(s.offered, u.offered)
-		}
+	for i := range c.sample.len {
+		o := c.sample.at(i)
+		o.weight = s.weight(o.workspace)
+		counts[o.key>>levelShift] += float64(o.weight)
+		total += float64(o.weight)
 	}
-	s.limit = math.Inf(1)
-	if n := counts[s.marginal]; n > 0 {
-		s.limit = max(maxMin(s.offered, total*room/float64(n)*(1-c.opts.ShareMargin)), c.opts.MinLimit)
+	room := c.loop.share * total
+	s.marginal = 0
+	for int(s.marginal) < levels-1 && room >= counts[s.marginal] {
+		room -= counts[s.marginal]
+		s.marginal++
 	}
-	for _, w := range s.order {
-		if u := s.uses[w]; u.offered > s.limit {
-			u.within = s.limit / u.offered
+	for i := range c.sample.len {
+		o := c.sample.at(i)
+		switch l := o.key >> levelShift; {
+		case l < s.marginal:
+			s.uses[o.workspace].sure++
+		case l == s.marginal:
+			s.uses[o.workspace].marginal++
 		}
 	}
+	c.divide(room)
+	within, above := 0.0, 0.0 // of the requests at the marginal level
 	for i := range c.sample.len {
 		o := c.sample.at(i)
 		o.key = c.markShare(o.key, s.uses[o.workspace].within, o.variate)
+		switch {
+		case o.key>>levelShift != s.marginal:
+		case o.key&aboveBit == 0:
+			within += float64(o.weight)
+		default:
+			above += float64(o.weight)
+		}
 	}
+	part := func(room, of float64) float64 { return min(max(room/max(of, 1e-9), c.opts.MinShare), 1) }
+	c.followAdmitted(elapsed, part(room, within), part(room-within, above))
 }
 
-// correctOffered estimates what the workspaces offer at the marginal level, in requests of the sample. The sample of one
-// gateway is small; the fleet's running requests, divided by the part that was admitted, correct the counts of the
-// largest workspaces and bound those of the others.
-func (c *Controller) correctOffered(now boottime.Instant, load float64) {
+// divide sets the max-min fair shares of the room at the marginal level.
+func (c *Controller) divide(room float64) {
 	s := &c.shares
-	s.most = math.Inf(1)
+	s.offered = s.offered[:0]
 	for _, w := range s.order {
-		s.uses[w].offered = float64(s.uses[w].marginal)
+		s.offered = append(s.offered, s.uses[w].offered())
 	}
+	s.limit = max(maxMin(s.offered, room*(1-c.opts.ShareMargin)), c.opts.MinLimit)
+	for _, w := range s.order {
+		if u := s.uses[w]; u.offered() > s.limit {
+			u.within = s.limit / u.offered()
+		}
+	}
+}
+
+// weigh corrects the sample, which is small, by what the largest workspaces offer to the fleet: their running
+// requests, divided by the part of their requests that was admitted. The requests of all other workspaces
+// together make up the rest.
+func (c *Controller) weigh(now boottime.Instant, load float64) {
+	s := &c.shares
+	s.others = 1
 	if len(s.fleet) == 0 || load <= 0 || now.Sub(s.fleetAt) > c.opts.WorkspacesTTL {
 		return
 	}
-	share := max(c.loop.share, c.opts.MinShare)
-	perRunning := float64(c.sample.len) / load * share
-	smallest := 0
-	if len(s.fleet) == c.opts.MaxWorkspaces {
-		smallest = s.fleet[len(s.fleet)-1].running
+	total := float64(c.sample.len)
+	perRunning := total / load * max(c.loop.average, c.opts.MinShare)
+	limit := c.opts.MaxWeight
+	restOffered, restRequests := total, total
+	for _, w := range s.fleet {
+		if u := s.uses[w.workspace]; u != nil {
+			n := float64(u.requests)
+			u.weight, u.known = perRunning*float64(w.running)/max(w.admitted, c.opts.MinShare)/n, true
+			u.weight = min(max(u.weight, 1/limit), limit)
+			restOffered -= u.weight * n
+			restRequests -= n
+		}
+	}
+	if restRequests > 0 {
+		s.others = min(max(restOffered/restRequests, 1/limit), limit)
 	}
-	s.most = max(1, perRunning*float64(smallest)/share)
 	for _, w := range s.order {
-		u := s.uses[w]
-		u.offered *= min(1, s.most/float64(u.requests))
+		if u := s.uses[w]; !u.known {
+			u.weight = s.others
+		}
 	}
-	const prior = 2 // requests of the admitted share, against divisions by small counts
-	for _, w := range s.fleet {
+}
+
+// followAdmitted updates the parts of the largest workspaces' requests that are admitted, from the parts that are admitted of the
+// requests within and above the shares at the marginal level. They follow with
+// the time for which requests run, since they are compared with running requests.
+func (c *Controller) followAdmitted(elapsed, within, above float64) {
+	s := &c.shares
+	follow := min(1, elapsed/(c.loop.hold+c.opts.LoadAge).Seconds())
+	c.loop.average += (c.loop.share - c.loop.average) * follow
+	for i := range s.fleet {
+		w := &s.fleet[i]
 		if u := s.uses[w.workspace]; u != nil {
-			admitted := (float64(u.admitted) + prior*share) / float64(u.requests+prior)
-			offered := perRunning * float64(w.running) / admitted
-			u.offered, u.known = offered*float64(u.marginal)/float64(u.requests), true
+			admitted := float64(u.sure) + float64(u.marginal)*(u.within*within+(1-u.within)*above)
+			w.admitted += (max(admitted/float64(u.requests), c.opts.MinShare) - w.admitted) * follow
 		}
 	}
 }
