--- a/internal/contention/sample.go
+++ b/internal/contention/sample.go
@@ -13,6 +13,7 @@
 	at        boottime.Instant
 	key       uint32 // position in the order
 	workspace uint32
+	weight    float32 // in counts of the sample, see Controller.weigh
 	variate   float32 // in [0, 1): the request is within its workspace's share if below the part that is
 	preferred bool    // ordered as a returning caller
 	admitted  bool
@@ -40,7 +41,7 @@
 func (s *requestSample) expire(now boottime.Instant, opts *Options) {
 	for s.len > 0 {
 		age := now.Sub(s.at(0).at)
-		if age <= opts.Window || age <= opts.MaxSampleAge && s.len <= opts.MinSample {
+		if age <= opts.Window || age <= opts.MaxSampleAge && s.len <= opts.FullSample {
 			return
 		}
 		s.start = (s.start + 1) % sampleSize
