contention: the loop accounts for what the utilization does not show yet

Cause: with 0.3 s old utilization the share swung around its mean, which cost small workspaces their requests. Change: the excess wait is predicted from the shares since the measurement, and small deviations of the inflow are followed slowly.

--- a/internal/contention/loop.go
+++ b/internal/contention/loop.go
@@ -75,7 +75,7 @@
 	l.history[l.next] = sample{at: now, utilization: u, share: l.share}
 	l.next = (l.next + 1) % historyLength
 	l.count = min(l.count+1, historyLength)
-	l.estimateDemand(now, elapsed.Seconds())
+	l.estimateDemand(now, elapsed.Seconds(), slots)
 
 	if !l.contended && u > l.target {
 		l.contended, l.since, l.reduced, l.average = true, now, now, 1
@@ -83,7 +83,7 @@
 	if !l.contended {
 		return
 	}
-	l.share = (1 - l.proportional()) / l.demand
+	l.share = (1 - l.proportional(now)) / l.demand
 	l.share = min(max(l.share, 0), 1)
 	if l.share < 1 {
 		l.reduced = now
@@ -93,11 +93,12 @@
 	l.at(0).share = l.share
 }
 
-// proportional returns the part by which the inflow is to be below the capacity. The quadratic term stops the
-// inflow while the excess wait does not drain within the longest delay, which cannot leave slots
+// proportional returns the part by which the inflow is to be below the capacity. It depends on the excess wait
+// that the utilization will show when it includes what was admitted within its age. The quadratic
+// term stops the inflow while that does not drain within the longest delay, which cannot leave slots
 // idle; near the target it is negligible.
-func (l *loop) proportional() float64 {
-	excess := (l.utilization - l.target) * l.hold.Seconds()
+func (l *loop) proportional(now boottime.Instant) float64 {
+	excess := (l.utilization-l.target)*l.hold.Seconds() + l.unseen(now)
 	p := excess / l.opts.DrainTime.Seconds()
 	if excess <= 0 {
 		return max(p, -l.opts.MaxRaise)
@@ -106,9 +107,24 @@
 	return min(p+far*far, 1)
 }
 
+// unseen returns the expected change of the wait, in seconds, by what was admitted and ended after the
+// utilization was measured.
+func (l *loop) unseen(now boottime.Instant) float64 {
+	sum, end := 0.0, now
+	for i := 1; i < l.count; i++ {
+		s := l.at(i)
+		from := max(s.at, now.Add(-l.opts.UsualDelay))
+		sum += (max(s.share, l.opts.MinShare)*l.demand - 1) * end.Sub(from).Seconds()
+		if end = s.at; from > s.at {
+			break
+		}
+	}
+	return max(sum, -max(l.utilization-1, 0)*l.hold.Seconds())
+}
+
 // estimateDemand updates the estimate of the demand from the observed inflow: the work that endpoints
 // have done plus the growth of their queues.
-func (l *loop) estimateDemand(now boottime.Instant, elapsed float64) {
+func (l *loop) estimateDemand(now boottime.Instant, elapsed float64, slots int) {
 	span := min(max(l.hold/2, l.opts.MinSlope), l.opts.MaxSlope)
 	first := l.at(0)
 	busy, n := 0.0, 0
@@ -127,7 +143,8 @@
 	bounded := min(max(l.demand, inflow/max(high, l.opts.MinShare)), inflow/max(low, l.opts.MinShare))
 	// While little is admitted, the inflow is a small difference of large numbers.
 	weight := min(1, max(inflow, high*l.demand))
-	l.demand += (bounded - l.demand) * weight * weight * min(1, elapsed/l.opts.DemandTime.Seconds())
+	rate := weight * weight * l.significance(bounded/l.demand-1, slots, span)
+	l.demand += (bounded - l.demand) * rate * min(1, elapsed/l.opts.DemandTime.Seconds())
 	undrained := min(max((inflow-0.8)/0.2, 0), 1) // 0 while queues shrink fast
 	if l.demand > 1 {
 		l.demand -= (l.demand - 1) * min(1, elapsed*l.opts.LeakRate*undrained)
@@ -139,6 +156,14 @@
 	l.demand = min(max(l.demand, 1e-3), l.opts.MaxDemand)
 }
 
+// significance returns the rate at which a deviation of the inflow from the expected one is followed, 1 for a deviation that
+// cannot be random. The standard deviation is that of the difference between the requests that
+// arrive and those that end in the time, if both are random.
+func (l *loop) significance(deviation float64, slots int, span time.Duration) float64 {
+	variance := 2 * l.hold.Seconds() / (span.Seconds() * float64(slots))
+	return min(max(deviation*deviation/(l.opts.Significant*l.opts.Significant*variance), l.opts.MinFollow), 1)
+}
+
 // sharesWithin returns the lowest and highest share that was in effect between the two ages.
 func (l *loop) sharesWithin(now boottime.Instant, minAge, maxAge time.Duration) (low, high float64) {
 	low, high = math.Inf(1), 0
--- a/internal/contention/options.go
+++ b/internal/contention/options.go
@@ -14,11 +14,14 @@
 	MaxHold        time.Duration // upper bound of the service time
 	MinDelay       time.Duration // lower bound of the age of a utilization
 	MaxDelay       time.Duration // upper bound of the age of a utilization
+	UsualDelay     time.Duration // usual age of a utilization
 	MinSlope       time.Duration // shortest interval over which the change of the utilization is measured
 	MaxSlope       time.Duration // longest such interval
 	DrainTime      time.Duration // in which the proportional term removes an excess wait; about three times the usual delay, for stability
 	MaxRaise       float64       // limit of the proportional term while the utilization is below its target
 	DemandTime     time.Duration // time constant with which the estimated demand follows its bounds
+	Significant    float64       // standard deviations of the inflow that are followed in DemandTime
+	MinFollow      float64       // rate at which small deviations are followed, relative to DemandTime
 	IntegralRate   float64       // 1/s: growth of the estimated demand while the utilization stays at twice its target
 	LeakRate       float64       // 1/s: return of the estimated demand to 1, by which gateways of different history agree again
 	MaxDemand      float64       // upper bound of the estimated demand, in multiples of the capacity
@@ -62,13 +65,16 @@
 		MaxHold:        time.Minute,
 		MinDelay:       50 * time.Millisecond,
 		MaxDelay:       550 * time.Millisecond,
+		UsualDelay:     300 * time.Millisecond,
 		MinSlope:       200 * time.Millisecond,
 		MaxSlope:       400 * time.Millisecond,
-		DrainTime:      time.Second,
+		DrainTime:      1000 * time.Millisecond,
 		MaxRaise:       0.15,
 		DemandTime:     100 * time.Millisecond,
+		Significant:    2,
+		MinFollow:      0.1,
 		IntegralRate:   1.5,
-		LeakRate:       0.6,
+		LeakRate:       0.3,
 		MaxDemand:      50,
 		MinShare:       0.05,
 		EndAfter:       time.Second,
