contention: only the fleet's largest workspaces can be above their share

Cause: a small workspace with three requests in a sample of 30 was taken for a large one; 2 in 100 of the small workspaces' requests were rejected for it. Change: if the fleet's largest workspaces are known, others are below their share.

--- a/internal/contention/shares.go
+++ b/internal/contention/shares.go
@@ -37,6 +37,8 @@
 	marginal uint32  // level
 	limit    float64 // of what a workspace offers at that level, in requests of the sample
 	others   float64 // weight of requests of workspaces that are not among the largest of the fleet
+
+	fleetKnown bool // the fleet's largest workspaces are known
 }
 
 func (s *shares) set(now boottime.Instant, loads map[uint32]int, opts *Options) {
@@ -61,17 +63,16 @@
 }
 
 // within returns the part of a workspace's requests at the marginal level that is within its share.
-// A further request of a small workspace counts like those of the sample, or
-// workspaces that are not in the sample would always be within their shares.
 func (s *shares) within(workspace uint32) float64 {
-	offered := s.others
-	if u := s.uses[workspace]; u != nil {
-		if u.known {
-			return u.within
-		}
-		offered += u.offered()
+	u := s.uses[workspace]
+	switch {
+	case u == nil:
+		return 1 // the limit is more than one request
+	case u.known || s.fleetKnown:
+		return u.within
+	default: // the further request counts like those of the sample
+		return min(1, s.limit/(u.offered()+s.others))
 	}
-	return min(1, s.limit/offered)
 }
 
 // weight returns the weight of a further request of a workspace.
@@ -148,7 +149,8 @@
 	}
 	s.limit = max(maxMin(s.offered, room*(1-c.opts.ShareMargin)), c.opts.MinLimit)
 	for _, w := range s.order {
-		if u := s.uses[w]; u.offered() > s.limit {
+		// A workspace that is not among the fleet's largest is below its share, whatever the sample shows.
+		if u := s.uses[w]; u.offered() > s.limit && (u.known || !s.fleetKnown) {
 			u.within = s.limit / u.offered()
 		}
 	}
@@ -160,7 +162,8 @@
 func (c *Controller) weigh(now boottime.Instant, load float64) {
 	s := &c.shares
 	s.others = 1
-	if len(s.fleet) == 0 || load <= 0 || now.Sub(s.fleetAt) > c.opts.WorkspacesTTL {
+	s.fleetKnown = len(s.fleet) > 0 && load > 0 && now.Sub(s.fleetAt) <= c.opts.WorkspacesTTL
+	if !s.fleetKnown {
 		return
 	}
 	total := float64(c.sample.len)
--- a/internal/contention/sim_test.go
+++ b/internal/contention/sim_test.go
@@ -20,7 +20,6 @@
 	next                              func(s *simulation) Request    // the properties of a request
 	returns                           bool                           // rejected callers return once, after their Retry-After
 	noLoads                           bool                           // the loads of workspaces are not distributed
-	hook                              func()
 	restart                           func(at time.Duration, gateway int) bool
 
 	rng         *rand.Rand
@@ -103,9 +102,6 @@
 		}
 		s.loads, s.running = append(s.loads, float64(load)), append(s.running, running)
 		busy = append(busy, float64(s.busy)/float64(s.endpoints*s.slots))
-		if s.hook != nil {
-			s.hook()
-		}
 		s.after(simStep, step)
 	}
 	step()
