--- a/internal/contention/admit_test.go
+++ b/internal/contention/admit_test.go
@@ -14,7 +14,7 @@
 	c, now := New(1), boottime.Instant(time.Hour)
 	for range 50 {
 		now = now.Add(simTick)
-		c.Update(now, utilization*100, 100, 600*time.Millisecond, 250*time.Millisecond)
+		c.Update(now, utilization*100, 100, 600*time.Millisecond, 250*time.Millisecond/4)
 	}
 	return c, now
 }
@@ -107,7 +107,7 @@
 	c, now := New(7), boottime.Instant(time.Hour)
 	for i := range 5000 {
 		now = now.Add(10 * time.Millisecond)
-		c.Update(now, float64(i%110), 100, 600*time.Millisecond, 250*time.Millisecond)
+		c.Update(now, float64(i%110), 100, 600*time.Millisecond, 250*time.Millisecond/4)
 		c.SetWorkspaceLoads(map[uint32]int{1: 50, 2: i % 60})
 		if d := c.Admit(now, Request{Workspace: uint32(i % 3), TimeLeft: time.Duration(i%5) * time.Millisecond}); d != (Decision{Admitted: true}) {
 			t.Fatalf("%+v", d)
@@ -187,7 +187,7 @@
 				loads[w] = 5
 			}
 			c.SetWorkspaceLoads(loads)
-			c.Update(now, 150+10*rng.Float64(), 100, 600*time.Millisecond, 250*time.Millisecond)
+			c.Update(now, 150+10*rng.Float64(), 100, 600*time.Millisecond, 250*time.Millisecond/4)
 			decisions[run] = append(decisions[run], c.Admit(now, Request{Workspace: rng.Uint32N(60), TimeLeft: 4 * time.Second}))
 		}
 	}
@@ -211,6 +211,6 @@
 		c.Admit(now, Request{Workspace: uint32(i)})
 	}
 	for b.Loop() {
-		c.Update(now, 150, 100, 600*time.Millisecond, 250*time.Millisecond)
+		c.Update(now, 150, 100, 600*time.Millisecond, 250*time.Millisecond/4)
 	}
 }
--- a/internal/contention/controller.go
+++ b/internal/contention/controller.go
@@ -31,11 +31,11 @@
 
 // Update is called every tick (40 ms) with the fleet's estimated load at the service's eligible
 // endpoints, the sum of their slots, the mean time for which a request holds a slot (0: unknown),
-// and the shortest latency goal of the service's routes.
+// and the longest wait in endpoint queues at which requests are still admitted.
 // Without a usable load or slots, everything is admitted.
-func (c *Controller) Update(now boottime.Instant, load float64, slots int, serviceTime, goal time.Duration) {
+func (c *Controller) Update(now boottime.Instant, load float64, slots int, serviceTime, wait time.Duration) {
 	elapsed := now.Sub(c.loop.updated)
-	c.loop.update(now, load, slots, serviceTime, goal)
+	c.loop.update(now, load, slots, serviceTime, wait)
 	if c.contended(now) {
 		c.sample.expire(now, &c.opts)
 		c.updateShares(now, load, min(elapsed, c.opts.UpdateTimeout).Seconds())
--- a/internal/contention/loop.go
+++ b/internal/contention/loop.go
@@ -52,7 +52,7 @@
 }
 
 // update sets the share for a new utilization.
-func (l *loop) update(now boottime.Instant, load float64, slots int, serviceTime, goal time.Duration) {
+func (l *loop) update(now boottime.Instant, load float64, slots int, serviceTime, wait time.Duration) {
 	u := load / float64(slots)
 	if slots <= 0 || math.IsNaN(u) || u < 0 || u > l.opts.MaxUtilization {
 		l.reset()
@@ -66,7 +66,7 @@
 		elapsed = max(now.Sub(l.updated), 0)
 	}
 	l.hold, l.target = l.opts.UnknownHold, 1
-	wait := max(time.Duration(l.opts.WaitFraction*float64(goal)), 0)
+	wait = max(wait, 0)
 	if serviceTime > 0 {
 		l.hold = min(max(serviceTime, l.opts.MinHold), l.opts.MaxHold)
 		l.target = 1 + wait.Seconds()/l.hold.Seconds()
--- a/internal/contention/loop_test.go
+++ b/internal/contention/loop_test.go
@@ -220,7 +220,7 @@
 		for range 100 {
 			now = now.Add(2 * simTick)
 			if name != "missing" {
-				c.Update(now, u.load, u.slots, 600*time.Millisecond, 250*time.Millisecond)
+				c.Update(now, u.load, u.slots, 600*time.Millisecond, 250*time.Millisecond/4)
 			} else {
 				now = now.Add(time.Second)
 			}
--- a/internal/contention/options.go
+++ b/internal/contention/options.go
@@ -6,7 +6,6 @@
 type Options struct {
 	// Control loop.
 
-	WaitFraction   float64       // of the shortest latency goal: the wait in endpoint queues that callers do not notice
 	MaxUtilization float64       // a higher value cannot come from bounded endpoint queues and counts as missing
 	UpdateTimeout  time.Duration // without an Update for this long the utilization counts as missing
 	UnknownHold    time.Duration // stands for the service time in the loop's model while it is unknown
@@ -57,7 +56,6 @@
 // DefaultOptions returns the options for production gateways.
 func DefaultOptions() Options {
 	return Options{
-		WaitFraction:   0.25,
 		MaxUtilization: 100,
 		UpdateTimeout:  time.Second,
 		UnknownHold:    500 * time.Millisecond,
--- a/internal/contention/sim_test.go
+++ b/internal/contention/sim_test.go
@@ -128,7 +128,7 @@
 	if !s.noLoads {
 		s.controllers[g].SetWorkspaceLoads(s.running[i])
 	}
-	s.controllers[g].Update(s.instant(), s.loads[i], s.endpoints*s.slots, s.hold, s.goal)
+	s.controllers[g].Update(s.instant(), s.loads[i], s.endpoints*s.slots, s.hold, s.goal/4)
 }
 
 func (s *simulation) arrive() {
--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -30,6 +30,7 @@
 	EndpointUnreachable <-chan struct{}       // closed when a connection attempt to the endpoint times out
 
 	cost                cost.Request
+	workspace           uint32        // shortWorkspaceID
 	pendingRead         time.Duration // prefill time that was outstanding at the endpoint before the attempt
 	version             origin.Version
 	entryCertain        bool
@@ -58,6 +59,7 @@
 		EndpointUnreachable: unreachable,
 
 		cost:                req.Cost,
+		workspace:           shortWorkspaceID(req.Workspace),
 		pendingRead:         s.backlog.tracker.Endpoint(now, e.shortID()).PendingRead,
 		version:             e.version,
 		entryCertain:        s.entryCertain(e),
--- a/internal/control/choose.go
+++ b/internal/control/choose.go
@@ -95,9 +95,7 @@
 // bound.
 func (s *State) weighByAffinity(now boottime.Instant, req PlacementRequest, w *weighing) {
 	w.bound = s.loadBound(&w.endpointClasses)
-	contended := s.contended(req.Service)
 	var bestWeight uint64
-	bestFull := false
 	for i := range w.candidates {
 		x := &w.candidates[i]
 		x.weight = fleet.Weight(req.Affinity, x.hash)
@@ -109,14 +107,6 @@
 			x.excluded = ExcludedBound
 			continue
 		}
-		full := contended && x.Capacity > 0 && float64(x.load+x.unreported) >= 1.2*float64(x.Capacity)
-		if w.chosen != nil && full != bestFull {
-			if full {
-				continue
-			}
-			w.chosen = nil
-		}
-		bestFull = full
 		if w.chosen == nil || x.weight > bestWeight {
 			w.chosen, bestWeight = x.endpoint, x.weight
 		}
--- a/internal/control/contention.go
+++ b/internal/control/contention.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -33,7 +34,8 @@
 	if s.table == nil {
 		return
 	}
-	goals := shortestGoals(s.table.Config().Routes)
+	goals := leastUrgentGoals(s.table.Config().Routes)
+	s.reportWorkspaces(now)
 	for i := range s.table.Config().Services {
 		id := s.table.Config().Services[i].ID
 		load, slots := s.loadAndSlots(now, id)
@@ -41,16 +43,30 @@
 		hold := s.costs.ServiceTime(id)
 		l.contention.Update(now, load, slots, hold, l.longestWait(hold, goals[id]))
 		s.logContention(now, id, l)
+		if l.contended {
+			s.contendedAt = now
+			l.contention.SetWorkspaceLoads(s.WorkspaceLoads(now))
+		}
 	}
 }
 
-// longestWait returns 4 x the wait up to which requests queue at endpoints.
+const (
+	// goalWaitFraction is the fraction of the latency goal of the least urgent requests that they may wait in endpoint
+	// queues: those that wait longer are late. More urgent requests do not wait, since endpoints order their queues.
+	goalWaitFraction = 0.75
+	// queueFillFraction is the fraction of the load at which endpoints refuse requests up to which they are filled.
+	queueFillFraction = 0.85
+	// queueLimitWeight is the weight of the newest refusal in the moving average of that load.
+	queueLimitWeight = 0.1
+)
+
+// longestWait returns the wait up to which requests queue at endpoints.
 func (l *serviceLoad) longestWait(hold, goal time.Duration) time.Duration {
-	wait := 1500 * time.Millisecond
+	wait := time.Duration(goalWaitFraction * float64(goal))
 	if l.queueLimit > 1 {
-		wait = min(wait, time.Duration((0.85*l.queueLimit-1)*float64(hold)))
+		wait = min(wait, time.Duration((queueFillFraction*l.queueLimit-1)*float64(hold)))
 	}
-	return 4 * max(wait, goal/4)
+	return wait
 }
 
 // noteRefusal records that an endpoint refused a request for lack of room.
@@ -64,22 +80,58 @@
 	if l.queueLimit == 0 {
 		l.queueLimit = level
 	}
-	l.queueLimit += 0.1 * (level - l.queueLimit)
+	l.queueLimit += queueLimitWeight * (level - l.queueLimit)
 }
 
-// shortestGoals returns the shortest latency goal of each service's routes.
-func shortestGoals(routes []routing.Route) map[fleet.ServiceID]time.Duration {
-	goals := map[fleet.ServiceID]time.Duration{}
+// leastUrgentGoals returns the latency goal of the least urgent routes of each service, the shortest of several.
+func leastUrgentGoals(routes []routing.Route) map[fleet.ServiceID]time.Duration {
+	last := map[fleet.ServiceID]*routing.Route{}
 	for i := range routes {
-		for _, t := range routes[i].Targets {
-			if g := routes[i].GoalLatency; g > 0 && (goals[t.Service] == 0 || g < goals[t.Service]) {
-				goals[t.Service] = g
+		r := &routes[i]
+		for _, t := range r.Targets {
+			if l := last[t.Service]; r.GoalLatency > 0 && (l == nil || r.Priority > l.Priority || r.Priority == l.Priority && r.GoalLatency < l.GoalLatency) {
+				last[t.Service] = r
 			}
 		}
 	}
+	goals := make(map[fleet.ServiceID]time.Duration, len(last))
+	for service, r := range last {
+		goals[service] = r.GoalLatency
+	}
 	return goals
 }
 
+// workspaceReportPeriod is how long after contention the requests of workspaces are reported to peers: contention that comes
+// and goes does not make the fleet's sums incomplete.
+const workspaceReportPeriod = 5 * time.Second
+
+// reportWorkspaces reports the workspaces' requests in flight to peers while services are contended, and for a while after.
+func (s *State) reportWorkspaces(now boottime.Instant) {
+	if s.contendedAt == 0 || now.Sub(s.contendedAt) > workspaceReportPeriod {
+		s.SetWorkspaceLoads(nil)
+		return
+	}
+	s.SetWorkspaceLoads(maps.Clone(s.workspaceInFlight))
+}
+
+// countWorkspace adds n to the requests in flight of a workspace, 0: none.
+func (s *State) countWorkspace(workspace uint32, n int) {
+	if workspace == 0 {
+		return
+	}
+	if s.workspaceInFlight[workspace] += n; s.workspaceInFlight[workspace] <= 0 {
+		delete(s.workspaceInFlight, workspace)
+	}
+}
+
+// shortWorkspaceID is the form of a workspace's ID in messages to peers, 0 for none.
+func shortWorkspaceID(id fleet.WorkspaceID) uint32 {
+	if id == "" {
+		return 0
+	}
+	return uint32(fleet.Hash(string(id)))
+}
+
 // loadAndSlots returns the fleet's requests at the endpoints of a service that take requests at their usual rate, and
 // the sum of the slots there. Endpoints without a published number of slots are left out.
 func (s *State) loadAndSlots(now boottime.Instant, service fleet.ServiceID) (load float64, slots int) {
@@ -125,9 +177,7 @@
 	if req.CallerTimeout > 0 {
 		r.TimeLeft = req.CallerTimeout
 	}
-	if ad.Workspace != "" {
-		r.Workspace = uint32(fleet.Hash(string(ad.Workspace)))
-	}
+	r.Workspace = shortWorkspaceID(ad.Workspace)
 	if w := s.table.Workspace(req.APIKey); w != nil && w.HasPriority {
 		r.WorkspacePriority, r.HasWorkspacePriority = w.Priority, true
 	}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -41,8 +41,9 @@
 	Version  origin.Version     // the only version at which the request may run; 0: any
 	Stream   fleet.RequestID    // if set, the request goes on with this stream, of which this process has forwarded events
 
-	Cost cost.Request // what is known about its size
-	Goal cost.Goal    // of its route
+	Workspace fleet.WorkspaceID // "" for none
+	Cost      cost.Request      // what is known about its size
+	Goal      cost.Goal         // of its route
 
 	Request crasher.Fingerprint // of the request's content, 0: not known
 	Shares  crasher.Shares      // what the request may have in common with others
@@ -121,6 +122,7 @@
 	s.crashes.detector.TraitsSent(now, req.Shares)
 	attempt.CacheSourceAddr = s.cacheSource(now, req.Affinity, e)
 	e.attempts[attempt] = true
+	s.countWorkspace(attempt.workspace, 1)
 	s.promptSent(now, attempt, &w)
 	return Placement{Attempt: attempt}
 }
--- a/internal/control/result.go
+++ b/internal/control/result.go
@@ -64,6 +64,7 @@
 	}
 	delete(e.attempts, a)
 	e.inFlight--
+	s.countWorkspace(a.workspace, -1)
 	s.backlog.tracker.Ended(now, a)
 	s.peerLoads.statusVersion++
 	switch r {
