routing: a configuration with an empty list of workspaces admits no key

Cause: an empty list was taken for a configuration without workspaces, so that requests with keys that had been taken away, or that never existed, ran without a workspace. Only a missing list means that no key is needed.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -158,7 +158,7 @@
 // authorize is authenticate for a key that belongs to a workspace, or to none if w is nil.
 func (s *State) authorize(now boottime.Instant, hasKey bool, w *routing.Workspace, ad *Admission) Reason {
 	ad.Priority = s.table.Priority(nil, ad.Route)
-	if !s.table.HasWorkspaces() || ad.Route.Public && !hasKey {
+	if !s.table.KeysRequired() || ad.Route.Public && !hasKey {
 		return ReasonNone
 	}
 	if !s.freshEnoughForAuth(now) {
--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -107,7 +107,7 @@
 // freshEnoughForAuth reports whether API keys may be accepted: always, unless StrictRevoke is set, the
 // configuration has workspaces and the local snapshot is older than AuthStalenessBound.
 func (s *State) freshEnoughForAuth(now boottime.Instant) bool {
-	if !s.opts.StrictRevoke || !s.table.HasWorkspaces() {
+	if !s.opts.StrictRevoke || !s.table.KeysRequired() {
 		return true
 	}
 	return s.SnapshotAge(now) <= s.opts.AuthStalenessBound
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -79,5 +79,5 @@
 	return nil
 }
 
-// HasWorkspaces reports whether any workspace is published. Without one, requests need no key.
-func (t *Table) HasWorkspaces() bool { return len(t.config.Workspaces) > 0 }
+// KeysRequired reports whether requests of routes that are not public need the key of a workspace.
+func (t *Table) KeysRequired() bool { return t.config.Workspaces != nil }
