ingress: an encoded slash does not end a segment of the path when the route is chosen

Cause: the route was chosen by the decoded path, while endpoints get the path as it was sent: /yard/look%2F7 was handled by the idempotent route of /yard/look/ and repeated after a lost answer. The path is now decoded but for encoded slashes.

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -84,7 +84,7 @@
 		c.s.callers.setIdleTimeout(st.Limits().IdleTimeout)
 		c.admission = st.Admit(now, control.AdmissionRequest{
 			Host:          c.r.Host,
-			Path:          c.r.URL.Path,
+			Path:          routePath(c.r.URL),
 			APIKey:        c.meta.Key,
 			CallerTimeout: c.meta.CallerTimeout,
 			Affinity:      c.affinityKey,
