contention: a tick allocates nothing

Cause: a tick with a full sample allocated 31 KB. Change: the counts of workspaces are kept in fixed storage.

--- a/internal/contention/shares.go
+++ b/internal/contention/shares.go
@@ -30,9 +30,11 @@
 // shares holds the max-min fair shares of the workspaces.
 type shares struct {
 	fleet    []workspaceLoad // descending
+	previous []workspaceLoad
 	fleetAt  boottime.Instant
 	uses     map[uint32]*workspaceUse // of the workspaces of the sample
 	order    []uint32                 // keys of uses, in the order of the sample
+	storage  [sampleSize]workspaceUse // of uses, so that a tick allocates nothing
 	offered  []float64
 	marginal uint32  // level
 	limit    float64 // of what a workspace offers at that level, in requests of the sample
@@ -42,7 +44,7 @@
 }
 
 func (s *shares) set(now boottime.Instant, loads map[uint32]int, opts *Options) {
-	previous := slices.Clone(s.fleet)
+	s.previous = append(s.previous[:0], s.fleet...)
 	s.fleet, s.fleetAt = s.fleet[:0], now
 	for w, n := range loads {
 		if n > 0 {
@@ -54,7 +56,7 @@
 	})
 	s.fleet = s.fleet[:min(len(s.fleet), opts.MaxWorkspaces)]
 	for i := range s.fleet {
-		for _, p := range previous {
+		for _, p := range s.previous {
 			if p.workspace == s.fleet[i].workspace {
 				s.fleet[i].admitted = p.admitted
 			}
@@ -87,12 +89,17 @@
 // sample.
 func (c *Controller) updateShares(now boottime.Instant, load, elapsed float64) {
 	s := &c.shares
-	s.uses, s.order = map[uint32]*workspaceUse{}, s.order[:0]
+	if s.uses == nil {
+		s.uses = make(map[uint32]*workspaceUse, sampleSize)
+	}
+	clear(s.uses)
+	s.order = s.order[:0]
 	for i := range c.sample.len {
 		w := c.sample.at(i).workspace
 		u := s.uses[w]
 		if u == nil {
-			u = &workspaceUse{weight: 1, within: 1}
+			u = &s.storage[len(s.order)]
+			*u = workspaceUse{weight: 1, within: 1}
 			s.uses[w] = u
 			s.order = append(s.order, w)
 		}
