wire, mesh, backlog: a smaller encoding of speeds and pending reads

Change: positions are a bitmap where that is shorter, a speed with its age takes one byte if there are at most eight different ones, and a pending prefill time is in units of 20 ms in half bytes. Speeds of 90 to 110 percent count as usual for other gateways, and a return to the usual is sent with the time of the return, up to an age of 600 ms. The workspaces are cut to what fits.

--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -15,6 +15,9 @@
 const (
 	// UsualPercent is the speed of an endpoint at which work takes as long as usual.
 	UsualPercent = 100
+	// usualRange is the deviation from UsualPercent up to which a speed counts as usual for other gateways. It matters less
+	// than the errors of estimates, and endpoints whose speed varies a little all the time would otherwise always be reported.
+	usualRange = 10
 	// minPercent and maxPercent bound a reported speed, so that a false report cannot make an endpoint look arbitrarily
 	// fast or slow.
 	minPercent = 25
@@ -24,9 +27,9 @@
 	MaxSpeedAge = time.Second
 	// speedTTL is the age up to which a speed is known. After eight times 400 ms its deviation counts less than 1 in 200.
 	speedTTL = 8 * 400 * time.Millisecond
-	// returnPeriod is how long a return to the usual speed is sent to other gateways: three intervals of 160 ms between
-	// messages of a large fleet, so that two of them may be lost.
-	returnPeriod = 500 * time.Millisecond
+	// MaxReturnAge is the age up to which a return to the usual speed is sent to other gateways. It takes up to 600 ms to
+	// reach all gateways of a large fleet.
+	MaxReturnAge = 600 * time.Millisecond
 	// ownPrecedence is how much later than this process's own report a peer's must seem to replace it. The age of a peer's
 	// report does not include the transit of messages, so that this process's own report, returned by a peer, seems later
 	// than it was.
@@ -49,6 +52,19 @@
 	At      boottime.Instant
 }
 
+// Usual reports whether other gateways need not know the speed unless it was another one just before.
+func (s Speed) Usual() bool {
+	return s.Percent >= UsualPercent-usualRange && s.Percent <= UsualPercent+usualRange
+}
+
+// Sent reports whether a speed is recent enough to be sent to other gateways.
+func (s Speed) Sent(now boottime.Instant) bool {
+	if s.Usual() {
+		return now.Sub(s.At) <= MaxReturnAge
+	}
+	return now.Sub(s.At) <= MaxSpeedAge
+}
+
 // State is what is known about an endpoint.
 type State struct {
 	PendingRead time.Duration // prefill time of the whole fleet's attempts that have not got their first event
--- a/internal/backlog/speed.go
+++ b/internal/backlog/speed.go
@@ -42,9 +42,9 @@
 		}
 	}
 	next := endpointSpeed{Speed: speed, own: own}
-	if own && speed.Percent == UsualPercent && known {
+	if own && speed.Usual() && known {
 		next.returnedAt = before.returnedAt
-		if before.Percent != UsualPercent && now.Sub(before.At) <= speedTTL {
+		if !before.Usual() && now.Sub(before.At) <= speedTTL {
 			next.returnedAt = now
 		}
 	}
@@ -84,14 +84,11 @@
 
 func (t *Tracker) sentSpeed(now boottime.Instant, endpoint uint32) (Speed, bool) {
 	s := t.speeds[endpoint]
-	switch {
-	case !s.own || now.Sub(s.At) > MaxSpeedAge:
-		return Speed{}, false
-	case s.Percent == UsualPercent:
-		return s.Speed, s.returnedAt != 0 && now.Sub(s.returnedAt) <= returnPeriod
-	default:
-		return s.Speed, true
+	speed := s.Speed
+	if speed.Usual() {
+		speed.At = s.returnedAt // later reports of the usual speed tell nothing new
 	}
+	return speed, s.own && speed.Sent(now)
 }
 
 func clamp(percent int) uint16 { return uint16(min(max(percent, minPercent), maxPercent)) }
--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -176,7 +176,7 @@
 		return m
 	}
 	status.Backlog = nil
-	status.Update = &wire.StoreUpdate{Items: []wire.StoreItem{{Key: "backlog", Value: []byte("not understood")}}}
+	status.Update = &wire.StoreUpdate{Items: []wire.StoreItem{{Key: "b", Value: []byte("not understood")}}}
 	return status
 }
 
--- a/internal/mesh/backlog.go
+++ b/internal/mesh/backlog.go
@@ -42,12 +42,13 @@
 	}
 	b := &backlogSum{speeds: map[uint32]backlog.Speed{}, reads: map[uint32]int{}, workspaces: largest(l.Workspaces)}
 	for endpoint, speed := range l.Speeds {
-		if now.Sub(speed.At) <= backlog.MaxSpeedAge {
+		if speed.Sent(now) {
 			b.speeds[endpoint] = speed
 		}
 	}
 	for endpoint, read := range l.Reads {
-		if units := int(read / (wire.ReadUnitMS * time.Millisecond)); units > 0 {
+		const unit = wire.ReadUnitMS * time.Millisecond
+		if units := int((read + unit/2) / unit); units > 0 {
 			b.reads[endpoint] = units
 		}
 	}
--- a/internal/mesh/backlogsize.go
+++ b/internal/mesh/backlogsize.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/dandelionvane/dandelionvane/internal/backlog"
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/wire"
 )
@@ -22,14 +21,12 @@
 	// turns. The counts of 600 endpoints fit beside it.
 	maxDisplacedCounts = 350
 	// backlogBaseBytes bounds the encoded size of a Backlog without entries, with the store update that carries it.
-	backlogBaseBytes = 36
-	// speedBytes and workspaceBytes bound the encoded sizes of an entry whose position differs from the one before by less
-	// than longDistance. Positions that differ more take a further byte each.
-	speedBytes     = 3
-	workspaceBytes = 7
-	longDistance   = 128
+	backlogBaseBytes = 30
+	workspaceBytes   = 7
+	// longDistance is the difference of two positions from which it takes two bytes.
+	longDistance = 128
 	// maxReadUnits bounds the pending prefill time of an endpoint, 82 s, so that it takes two bytes.
-	maxReadUnits = 1<<14 - 1
+	maxReadUnits = 1<<12 - 1
 	// maxWorkspaceRequests bounds the requests of a workspace, so that they take three bytes.
 	maxWorkspaceRequests = 1<<21 - 1
 )
@@ -56,7 +53,7 @@
 		return cmp.Or(cmp.Compare(b.speeds[y].At, b.speeds[x].At), cmp.Compare(x, y))
 	})
 	r.speeds = slices.DeleteFunc(r.speeds, func(id uint32) bool {
-		return s.endpoints.position(id) < 0 || now.Sub(b.speeds[id].At) > backlog.MaxSpeedAge
+		return s.endpoints.position(id) < 0 || !b.speeds[id].Sent(now)
 	})
 	r.reads = slices.DeleteFunc(byCount(b.reads), func(id uint32) bool { return s.endpoints.position(id) < 0 })
 	if len(r.speeds)+len(r.reads)+len(b.workspaces) == 0 {
@@ -73,11 +70,28 @@
 	return -1
 }
 
-func readBytes(units int) int {
-	if units < 128 {
-		return 2
+// halfBytes bounds the encoded size of an entry in half bytes, of which the position takes two.
+func halfBytes(units int) int { return 2 + wire.HalfBytes(units) }
+
+// sizes returns bounds of the encoded sizes: of one speed and of all pending prefill times.
+func (r *rankedBacklog) sizes() (speed, reads int) {
+	speed = 2
+	percents := map[uint16]bool{}
+	for _, id := range r.speeds {
+		percents[r.sum.speeds[id].Percent] = true
+	}
+	if len(percents) > wire.MaxPalette {
+		speed = 3
+	}
+	for _, id := range r.reads {
+		reads += halfBytes(min(r.sum.reads[id], maxReadUnits))
 	}
-	return 3
+	return speed, (reads + 1) / 2
+}
+
+// baseSize bounds the encoded size of a Backlog without entries.
+func (x *endpointIndex) baseSize() int {
+	return backlogBaseBytes + wire.MaxPalette + 2*x.longDistances()
 }
 
 // size returns a bound of the encoded size of all entries.
@@ -85,17 +99,14 @@
 	if r == nil {
 		return 0
 	}
-	size := backlogBaseBytes + 2*x.longDistances() + workspaceBytes*len(r.sum.workspaces) + speedBytes*len(r.speeds)
-	for _, id := range r.reads {
-		size += readBytes(r.sum.reads[id])
-	}
-	return size
+	speed, reads := r.sizes()
+	return x.baseSize() + workspaceBytes*min(len(r.sum.workspaces), maxWorkspaces) + speed*len(r.speeds) + reads
 }
 
 // longDistances bounds the entries of a list sorted by position that differ from the entry before by longDistance or more.
 func (x *endpointIndex) longDistances() int { return len(x.ids)/longDistance + 1 }
 
-// fit returns the Backlog with the entries that fit into a size in bytes, or nil if none does. Workspaces come first, since
+// fit returns the Backlog with the entries that fit into a size in bytes, or nil if none does. The workspaces come first, since
 // there are few. Then half of the rest is for speeds and half for pending prefill times, and what one does not need is for the
 // other: the newest speeds and the longest times are sent.
 func (s *State) fit(r *rankedBacklog, size int) *wire.Backlog {
@@ -107,25 +118,28 @@
 		return r.fitted
 	}
 	r.fittedSize, r.fitted = size, nil
-	rest := size - backlogBaseBytes - 2*s.endpoints.longDistances()
+	rest := size - s.endpoints.baseSize()
+	if rest < 0 {
+		return nil
+	}
 	b := &wire.Backlog{Digest: s.endpoints.digest}
-	for _, workspace := range byCount(largest(r.sum.workspaces)) {
-		if rest -= workspaceBytes; rest >= 0 {
-			b.Workspaces = append(b.Workspaces, wire.WorkspaceLoad{Workspace: workspace, Requests: uint32(min(r.sum.workspaces[workspace], maxWorkspaceRequests))})
+	for _, workspace := range byCount(r.sum.workspaces) {
+		if len(b.Workspaces) == maxWorkspaces || rest < workspaceBytes {
+			break
 		}
+		rest -= workspaceBytes
+		b.Workspaces = append(b.Workspaces, wire.WorkspaceLoad{Workspace: workspace, Requests: uint32(min(r.sum.workspaces[workspace], maxWorkspaceRequests))})
 	}
-	forReads := 0
-	for _, id := range r.reads {
-		forReads += readBytes(r.sum.reads[id])
-	}
+	speedBytes, forReads := r.sizes()
 	forReads = min(forReads, max(rest/2, rest-speedBytes*len(r.speeds)))
-	for _, id := range r.speeds[:min(len(r.speeds), max(rest-forReads, 0)/speedBytes)] {
+	for _, id := range r.speeds[:min(len(r.speeds), (rest-forReads)/speedBytes)] {
 		speed := r.sum.speeds[id]
 		b.Speeds = append(b.Speeds, wire.EndpointSpeed{Position: uint32(s.endpoints.position(id)), Percent: speed.Percent, AgeMS: ageMS(r.at, speed.At)})
 	}
+	halves := 2 * forReads
 	for _, id := range r.reads {
 		units := min(r.sum.reads[id], maxReadUnits)
-		if forReads -= readBytes(units); forReads < 0 {
+		if halves -= halfBytes(units); halves < 0 {
 			break
 		}
 		b.Reads = append(b.Reads, wire.PendingRead{Position: uint32(s.endpoints.position(id)), Units: uint32(units)})
