--- a/internal/controltest/request.go
+++ b/internal/controltest/request.go
@@ -19,6 +19,7 @@
 	Failing     bool             // it responds with a failure of its own
 	SilentUntil boottime.Instant // it is sound, but sends nothing before
 	ReportsLoad bool             // it reports its load with its responses
+	ReadTime    time.Duration    // in which it prefills each prompt, as gateways estimate; 0: not estimated
 	Speed       int              // reported with its load, in percent of the usual time; 0: not reported
 	InFlight    int
 	Arrivals    []boottime.Instant
@@ -106,6 +107,14 @@
 
 func (n *Node) runAt(e *Endpoint, attempt *control.Attempt, attemptNumber int, done func(Outcome)) {
 	w, process := n.World, n.incarnation
+	if e.ReadTime > 0 {
+		n.run(func() { n.State.PromptSent(w.Now(), attempt, e.ReadTime) })
+		w.After(e.ReadTime+networkDelay, func() {
+			if n.incarnation == process {
+				n.run(func() { n.State.PromptRead(w.Now(), attempt) })
+			}
+		})
+	}
 	o := Outcome{Endpoint: e, Attempts: attemptNumber, LoadBefore: float64(e.InFlight), MeanBefore: w.mean(e.Service)}
 	e.Arrivals = append(e.Arrivals, w.Now())
 	e.InFlight++
