mesh: a backlog displaces no counts of up to 700 endpoints

Cause: with 602 endpoints and a large backlog the counts went in two turns, so that loads were known twice as late. Change: at most 250 instead of 350 bytes are taken from the counts.

--- a/internal/mesh/backlogsize.go
+++ b/internal/mesh/backlogsize.go
@@ -18,8 +18,8 @@
 	// maxBacklogBytes bounds the Backlog of one Status.
 	maxBacklogBytes = 400
 	// maxDisplacedCounts is the size in bytes that a Backlog may take of the counts of a summary, which are then sent in
-	// turns. The counts of 600 endpoints fit beside it.
-	maxDisplacedCounts = 350
+	// turns. The counts of maxSummaryCounts endpoints fit beside it.
+	maxDisplacedCounts = 250
 	// backlogBaseBytes bounds the encoded size of a Backlog without entries, with the store update that carries it.
 	backlogBaseBytes = 30
 	workspaceBytes   = 7
