--- a/internal/mesh/backlog_test.go
+++ b/internal/mesh/backlog_test.go
@@ -47,7 +47,7 @@
 // TestBacklogFitsDatagram: a Status with a Backlog of 600 or more endpoints fits into a datagram, for ordinary gateways and for
 // aggregators, in calm and with many failures. All counts of the summary still arrive in turns.
 func TestBacklogFitsDatagram(t *testing.T) {
-	const maxStatusBytes = 1100 // the size up to which package peering sends a datagram
+	const maxStatusBytes = 1100 // gossip.MaxBytes without room for the ID of the sender
 	for _, endpoints := range []int{9, 600, 3000} {
 		for _, failures := range []int{0, 100} {
 			for _, peers := range []int{fullMeshFleetSize - 4, fullMeshFleetSize + 4} {
--- a/internal/wire/backlog.go
+++ b/internal/wire/backlog.go
@@ -5,9 +5,9 @@
 // Backlog is the outstanding work and the speed of endpoints, and the requests in flight of workspaces, of the sender of a
 // Status. In a Status with a Summary it is the newest speed and the sums of the same gateways.
 //
-// Gateways of the version before it reject a Status or a LoadSummary with a further element, and ban the senders of unknown
-// kinds of messages. They ignore a StoreUpdate with Revision 0, which is not later than any that they have. A Backlog is
-// therefore encoded as the only item of such an update, under backlogKey.
+// Gateways of the version before it drop a whole Status with a further element as malformed, and messages of unknown kinds. They
+// ignore a StoreUpdate with Revision 0, which is not later than any that they have. A Backlog is therefore encoded as the only
+// item of such an update, under backlogKey, and costs no further packets.
 type Backlog struct {
 	Digest     uint32          // of the short IDs of all endpoints, as in LoadSummary; a receiver with others ignores the endpoints
 	Speeds     []EndpointSpeed // sorted by position
@@ -45,8 +45,9 @@
 	// MaxPalette is the number of different speeds up to which a speed and its age take one byte.
 	MaxPalette  = 8
 	maxAgeSteps = 31
-	// maxBacklogEntries bounds the entries of each kind that are decoded. A datagram holds fewer.
-	maxBacklogEntries = 2048
+	// maxBacklogEntries bounds the entries of each kind that are decoded, so that a false message takes little memory. Package
+	// mesh sends fewer.
+	maxBacklogEntries = 512
 	maxPosition       = 1 << 17
 )
 
--- a/internal/wire/backlog_test.go
+++ b/internal/wire/backlog_test.go
@@ -143,7 +143,7 @@
 
 // TestOldVersionIgnoresBacklog: the version before decodes a Status with a Backlog to the same Status with a store update
 // that it ignores, because its revision is not later than any. It guards against a fleet of both versions in which the older
-// gateways ban the newer ones for malformed frames.
+// gateways drop the messages of the newer ones as malformed.
 func TestOldVersionIgnoresBacklog(t *testing.T) {
 	s, want := statuses()
 	s.Backlog = testBacklog()
