callerconn: limits on heads, and budgets for connections and memory

Cause: net/http's limits on a head are fixed at the start, whatever is published, and nothing bounds the number of connections, or the memory for what callers have sent of requests that are not complete.

Change: a Conn counts the bytes of an unfinished head and its time since the first byte, and refuses it with 431 or 408. Its read is interrupted as before, so that bytes that have arrived are passed on. A Listener can have a budget for connections and share one for memory, which is charged for heads (by bytes and fields), for incomplete bodies and for unread answers. If a budget is exhausted, the connection without a complete request whose last progress is oldest is closed, then those between two requests whose announced time is over. If there is none, a new connection is closed at once, a head is answered 503, and a body's reader gets an error. An answer to a head that net/http rejects is no longer destroyed by a reset. Reasons are counted.

A byte of the next request that is read while one runs begins that request's head: before, its connection counted as idle.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -14,13 +14,6 @@
 // interrupted is a deadline in the past.
 var interrupted = time.Unix(1, 0)
 
-const (
-	// lingerTime and lingerBytes bound what is read, and discarded, of a body after an answer that did not wait for it. A connection
-	// that is closed with unread bytes is reset, which may destroy the answer on its way.
-	lingerTime  = 300 * time.Millisecond
-	lingerBytes = 4 << 20
-)
-
 // Conn is a caller's connection. Methods that it doesn't define are those of the TCP connection.
 type Conn struct {
 	*net.TCPConn
@@ -28,15 +21,18 @@
 	accepted time.Time
 
 	mu        sync.Mutex
+	incoming  incoming // what is arriving of a request
 	phase     Phase
 	since     time.Time     // start of the phase
 	announced time.Duration // Keep-Alive timeout of the last answer
 	deadline  time.Time     // for reads, as set by the server
-	awaits    bool          // in the phase Waiting: the server has begun to wait for the next request
+	applied   time.Time     // deadline of the TCP connection: the earlier one of deadline and the limits' own
+	awaits    bool          // the server has begun to wait for the next request
 	reading   bool          // a Read is in progress
 	asked     Reason        // why the connection shall be closed, 0 if it shall not
 	limit     time.Duration // idle timeout for the decision on asked
 	unread    bool          // the answer in progress does not wait for the rest of the request's body
+	rejected  bool          // this package has answered; what the server still writes is dropped
 	closing   bool          // Close was called
 }
 
@@ -61,23 +57,34 @@
 	c.unread = false
 	c.setPhase(Waiting)
 	c.awaits = false
+	c.releaseCharge()
+	early := c.incoming.early
+	c.incoming = incoming{head: true, progress: c.since}
+	if early {
+		c.setPhase(Started)
+		c.incoming.begin(c.since)
+	}
 }
 
 func (c *Conn) setPhase(p Phase) { c.phase, c.since = p, time.Now() }
 
-// SetReadDeadline implements net.Conn. The server sets the deadline when it begins to wait for a request, and again
-// when it has enough bytes of a head; these may have been buffered behind the request before.
+// SetReadDeadline implements net.Conn. The server sets the deadline when it begins to wait for a request, when it has
+// enough bytes of a head, which may have been buffered behind the request before (not for the first request), and when the
+// head is complete.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.phase == Waiting && !c.awaits:
+	case !c.awaits:
 		c.awaits = true
 	case c.phase == Waiting, c.phase == Started:
 		c.setPhase(InFlight)
+		c.incoming.begin(c.since)
+	default:
+		c.incoming.head = false
 	}
 	c.deadline = t
-	return c.TCPConn.SetReadDeadline(t)
+	return c.applyDeadline()
 }
 
 // SetDeadline implements net.Conn.
@@ -91,15 +98,19 @@
 // Read implements net.Conn. A deadline ends the wait for bytes; those that have arrived are read regardless of it.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
-		c.beginRead()
+		if why := c.beginRead(p); why != 0 {
+			return 0, c.refuse(why)
+		}
 		n, err := c.TCPConn.Read(p)
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.aborted() {
 			n, err = c.readArrived(p, err)
 		}
-		done, closeFor := c.endRead(n, err)
-		if closeFor != 0 {
-			c.listener.countClosed(closeFor)
-			_ = c.Close() // the server closes it once more
+		done, why := c.endRead(n, err)
+		if n > 0 && !c.takeIn(p[:n]) {
+			why = Memory
+		}
+		if why != 0 {
+			return 0, c.refuse(why)
 		}
 		if done {
 			return n, err
@@ -107,10 +118,22 @@
 	}
 }
 
-func (c *Conn) beginRead() {
+// beginRead returns the reason for which the request that is being read must be refused, or 0.
+func (c *Conn) beginRead(p []byte) Reason {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.incoming.refused != 0 {
+		return c.incoming.refused
+	}
+	if c.incoming.head && c.incoming.bytes >= c.listener.limits.headBytes() {
+		return HeadTooLarge
+	}
+	c.incoming.watch = len(p) == 1 && !c.incoming.head
 	c.reading = true
+	if c.readDeadline() != c.applied {
+		_ = c.applyDeadline() // fails only if the connection is closed
+	}
+	return 0
 }
 
 // aborted reports whether the server has set a deadline in the past to end a read. What has arrived stays in the
@@ -118,7 +141,7 @@
 func (c *Conn) aborted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.asked == 0 && c.deadline.Before(c.accepted)
+	return c.asked == 0 && !c.deadline.IsZero() && c.deadline.Before(c.accepted)
 }
 
 // readArrived reads without waiting, regardless of the deadline. It returns the error none if nothing has arrived. It
@@ -149,8 +172,8 @@
 	}
 }
 
-// endRead updates the state after a read. It returns false if the read was only interrupted by a sweep and the
-// connection is kept, and the reason for which the connection must be closed, or 0.
+// endRead updates the state after a read. It returns false if the read was only interrupted, by a sweep or a deadline that
+// no longer holds, and the connection is kept, and the reason for which the connection must be closed, or 0.
 func (c *Conn) endRead(n int, err error) (done bool, closeFor Reason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -158,20 +181,23 @@
 	why := c.asked
 	c.asked = 0
 	if why != 0 {
-		_ = c.TCPConn.SetReadDeadline(c.deadline) // fails only if the connection is closed
+		_ = c.applyDeadline() // fails only if the connection is closed
 	}
 	if n > 0 {
 		c.received()
+		return true, 0
 	}
-	if why == 0 || n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return true, 0
 	}
 	now := time.Now()
-	if Decide(c.state(), why, c.limit, now) == Close {
+	if why != 0 && Decide(c.state(), why, c.limit, now) == Close {
 		return true, why
 	}
-	expired := !c.deadline.IsZero() && !now.Before(c.deadline)
-	return expired, 0
+	if !c.deadline.IsZero() && !now.Before(c.deadline) {
+		return true, 0
+	}
+	return false, c.lateness(now)
 }
 
 // received updates the phase after bytes were read.
@@ -181,10 +207,14 @@
 		c.setPhase(InFlight)
 	case Waiting:
 		c.setPhase(Started)
+	case InFlight:
+		c.incoming.early = c.incoming.watch
 	}
 }
 
-func (c *Conn) state() State { return State{Phase: c.phase, Since: c.since, Announced: c.announced} }
+func (c *Conn) state() State {
+	return State{Phase: c.phase, Since: c.since, Announced: c.announced, Incomplete: c.incoming.incomplete(c.phase)}
+}
 
 // askToClose interrupts the reader if the connection may be closed, and reports whether it did. The reader then
 // decides with what has arrived.
@@ -197,31 +227,3 @@
 	c.asked, c.limit = why, limit
 	return c.TCPConn.SetReadDeadline(interrupted) == nil
 }
-
-// Close implements net.Conn. After an answer that did not wait for the request's body, it returns before the connection is closed.
-func (c *Conn) Close() error {
-	c.listener.remove(c)
-	if !c.beginLinger() {
-		return c.TCPConn.Close()
-	}
-	go c.linger()
-	return nil
-}
-
-// beginLinger reports whether the connection must linger, the first time that it is called.
-func (c *Conn) beginLinger() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	first := !c.closing
-	c.closing = true
-	return first && c.unread
-}
-
-// linger ends the answer, discards what still arrives of the request's body, and closes the connection.
-func (c *Conn) linger() {
-	defer c.TCPConn.Close()
-	if c.TCPConn.CloseWrite() != nil || c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
-		return // the caller has closed it
-	}
-	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes) // ends with the body, the time or the connection
-}
--- a/internal/callerconn/decision.go
+++ b/internal/callerconn/decision.go
@@ -18,6 +18,17 @@
 	Idle        Reason = iota + 1 // the regular check
 	PlannedStop                   // a planned stop: promises are kept
 	GraceEnd                      // the end of the grace period is near: promises are no longer kept
+	Connections                   // the budget for connections is exhausted
+	Memory                        // the budget for memory is exhausted
+)
+
+// Reasons to refuse what a caller sends. These connections are answered, except for Unused and Refused.
+const (
+	HeadTooLarge  Reason = iota + Memory + 1 // a head over the limit
+	HeadLate                                 // a head that is not complete within the header timeout
+	HeadMalformed                            // a head that net/http rejects
+	Unused                                   // no byte arrived on a new connection
+	Refused                                  // a new connection, when no other one may be closed for it
 )
 
 // String returns the reason's stable name in logs.
@@ -29,6 +40,20 @@
 		return "planned_stop"
 	case GraceEnd:
 		return "grace_end"
+	case Connections:
+		return "connections"
+	case Memory:
+		return "memory"
+	case HeadTooLarge:
+		return "head_too_large"
+	case HeadLate:
+		return "head_late"
+	case HeadMalformed:
+		return "head_malformed"
+	case Unused:
+		return "unused"
+	case Refused:
+		return "refused"
 	default:
 		return "invalid"
 	}
@@ -50,6 +75,8 @@
 	Phase     Phase
 	Since     time.Time     // since when the connection is in its phase
 	Announced time.Duration // Keep-Alive timeout of the last answer, 0 for none
+
+	Incomplete bool // a request is missing, or part of one, and the connection is not between two requests
 }
 
 // Verdict is the result of a decision.
@@ -80,6 +107,9 @@
 // answers sent now, or 0 if there is none.
 func Decide(s State, why Reason, limit time.Duration, now time.Time) Verdict {
 	age := now.Sub(s.Since)
+	if why == Connections || why == Memory {
+		return decideShortage(s, age)
+	}
 	switch s.Phase {
 	case Fresh:
 		return decideFresh(age, why)
@@ -117,3 +147,18 @@
 	}
 	return Close
 }
+
+// decideShortage decides about a connection when a budget is exhausted. One between two requests is kept for as long as its last
+// answer announced. If it announced nothing, Margin lets a caller that has another request send it.
+func decideShortage(s State, age time.Duration) Verdict {
+	switch {
+	case s.Incomplete:
+		return Close
+	case s.Phase != Waiting:
+		return KeepRequest
+	case age <= s.Announced+Margin:
+		return KeepPromised
+	default:
+		return Close
+	}
+}
--- a/internal/callerconn/decision_test.go
+++ b/internal/callerconn/decision_test.go
@@ -40,6 +40,14 @@
 		{"some bytes of a head, stop", State{Phase: Started}, PlannedStop, time.Second, maxStartOfHead, KeepRequest},
 		{"some bytes of a head, end of the grace period", State{Phase: Started}, GraceEnd, time.Second, maxStartOfHead, KeepRequest},
 
+		{"no connections left, part of a request", State{Phase: InFlight, Incomplete: true}, Connections, 0, 0, Close},
+		{"no connections left, a new connection", State{Phase: Fresh, Incomplete: true}, Connections, 0, 0, Close},
+		{"no connections left, a complete request", State{Phase: InFlight}, Connections, 0, time.Hour, KeepRequest},
+		{"no connections left within the announced time", State{Phase: Waiting, Announced: 5 * time.Second}, Connections, 0, 5*time.Second + Margin, KeepPromised},
+		{"no connections left after the announced time", State{Phase: Waiting, Announced: 5 * time.Second}, Connections, 0, 5*time.Second + Margin + tick, Close},
+		{"no memory left, part of a request", State{Phase: InFlight, Incomplete: true}, Memory, 0, 0, Close},
+		{"no memory left, a complete request", State{Phase: InFlight}, Memory, 0, time.Hour, KeepRequest},
+
 		{"a request, idle", State{Phase: InFlight}, Idle, time.Second, time.Hour, KeepRequest},
 		{"a request, stop", State{Phase: InFlight}, PlannedStop, time.Second, time.Hour, KeepRequest},
 		{"a request, end of the grace period", State{Phase: InFlight}, GraceEnd, time.Second, time.Hour, KeepRequest},
--- /dev/null
+++ b/internal/callerconn/incoming.go
@@ -0,0 +1,153 @@
+package callerconn
+
+import (
+	"bytes"
+	"time"
+)
+
+const (
+	// DefaultHeadBytes and DefaultHeadTimeout apply before limits are published.
+	DefaultHeadBytes   = 64 << 10
+	DefaultHeadTimeout = 10 * time.Second
+	// headSlack is how much longer than the limit what arrives of a head may be: the published limit does not count the method, the
+	// host and spaces. A head whose fields are over the limit is refused by package ingress.
+	headSlack = 4 << 10
+	// unusedTimeout limits the wait for the first byte on a new connection.
+	unusedTimeout = 10 * time.Second
+
+	// Bounds on the memory of a head, from what net/http allocates. A line of up to 64 KiB is held in a buffer that doubles, beside
+	// the strings cut from it. A field takes a slot of 40 bytes in a map that is at least half full and doubles, two strings, and the
+	// same again in the copy for the endpoint.
+	costPerHeadByte  = 3
+	costPerHeadField = 512
+
+	// keptBodyBytes is how much of a complete body stays charged until the answer; beyond it, package bytebudget reserves.
+	keptBodyBytes = 64 << 10
+)
+
+// incoming is what has arrived of a request. net/http reads from a connection only when it has used up what it has read, so all
+// bytes before a read of a head belong to that unfinished head.
+type incoming struct {
+	head     bool      // the head is not complete
+	body     bool      // the head is, the body is being read
+	watch    bool      // the read is that of one byte by which net/http notices, after the body, that the caller leaves
+	early    bool      // the first byte of the next request was read while this one ran
+	refused  Reason    // why the rest is not read, 0 if it is
+	bytes    int       // of the head
+	began    time.Time // arrival of the first byte of the head, zero before it
+	progress time.Time // the last arrival
+
+	headCharge, bodyCharge, answerCharge int64 // of the memory budget
+}
+
+// incomplete reports whether a request is missing or incomplete on a connection in a phase.
+func (i *incoming) incomplete(p Phase) bool { return i.body && !i.watch || i.head && p != Waiting }
+
+func (i *incoming) begin(now time.Time) {
+	if i.began.IsZero() {
+		i.began = now
+	}
+}
+
+// takeIn counts bytes that were read of a head or a body. It returns false if the budget has no room for them, also after other
+// connections were asked to close.
+func (c *Conn) takeIn(read []byte) bool {
+	cost, ok := c.count(read)
+	if ok || cost == 0 {
+		return true
+	}
+	for range maxEvictions {
+		if !c.listener.evict(Memory) {
+			return c.charge(cost)
+		}
+		c.listener.awaitRoom()
+		if c.charge(cost) {
+			return true
+		}
+	}
+	return false
+}
+
+// count counts bytes of a head or a body, and returns their cost and whether the budget has room for it.
+func (c *Conn) count(read []byte) (cost int64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	in := &c.incoming
+	if !in.head && !in.body {
+		return 0, true
+	}
+	in.progress = time.Now()
+	cost = int64(len(read))
+	if in.head {
+		in.begin(in.progress)
+		in.bytes += len(read)
+		cost = costPerHeadByte*cost + costPerHeadField*int64(bytes.Count(read, newline))
+	}
+	return cost, c.chargeLocked(cost)
+}
+
+// charge charges a cost unless the budget has no room for it.
+func (c *Conn) charge(cost int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.chargeLocked(cost)
+}
+
+func (c *Conn) chargeLocked(cost int64) bool {
+	b := c.listener.memory
+	switch {
+	case b == nil || c.closing:
+		return true
+	case !b.reserve(cost):
+		return false
+	case c.incoming.head:
+		c.incoming.headCharge += cost
+	default:
+		c.incoming.bodyCharge += cost
+	}
+	return true
+}
+
+var newline = []byte{'\n'}
+
+// readDeadline returns the deadline for the next read.
+func (c *Conn) readDeadline() time.Time {
+	d := c.limitDeadline()
+	if d.IsZero() || !c.deadline.IsZero() && c.deadline.Before(d) {
+		return c.deadline
+	}
+	return d
+}
+
+// limitDeadline returns when the head must be complete, or its first byte have arrived on a new connection. It is zero while
+// neither applies.
+func (c *Conn) limitDeadline() time.Time {
+	switch {
+	case !c.incoming.head:
+		return time.Time{}
+	case !c.incoming.began.IsZero():
+		return c.incoming.began.Add(c.listener.limits.headTimeout())
+	case c.phase == Fresh:
+		return c.accepted.Add(unusedTimeout)
+	default:
+		return time.Time{}
+	}
+}
+
+func (c *Conn) applyDeadline() error {
+	c.applied = c.readDeadline()
+	return c.TCPConn.SetReadDeadline(c.applied)
+}
+
+// lateness returns the reason for which the request must be refused, or 0 if its time is not over.
+func (c *Conn) lateness(now time.Time) Reason {
+	d := c.limitDeadline()
+	switch {
+	case d.IsZero() || now.Before(d):
+		return 0
+	case c.incoming.began.IsZero():
+		return Unused
+	default:
+		return HeadLate
+	}
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -11,32 +11,46 @@
 // Listener accepts callers' connections and keeps track of them.
 type Listener struct {
 	*net.TCPListener
+	limits   currentLimits
+	maxConns int           // 0: no bound
+	memory   *Budget       // nil: no bound
+	room     chan struct{} // holds an element after a connection was closed
 
 	mu        sync.Mutex
 	conns     map[*Conn]struct{}
+	open      int            // connections whose descriptors are open: conns and those that linger
+	lingering int            // those that linger
 	accepting int            // calls of Accept
 	closed    map[Reason]int // since the last call of Closed
 }
 
-// NewListener returns a listener that accepts the connections of l.
+// NewListener returns a listener that accepts the connections of l, without budgets.
 func NewListener(l *net.TCPListener) *Listener {
-	return &Listener{TCPListener: l, conns: map[*Conn]struct{}{}, closed: map[Reason]int{}}
+	return &Listener{TCPListener: l, room: make(chan struct{}, 1), conns: map[*Conn]struct{}{}, closed: map[Reason]int{}}
 }
 
+// SetBudgets bounds the number of connections, and the memory for what their callers send and do not read. It must be called before
+// Accept.
+func (l *Listener) SetBudgets(conns int, memory *Budget) { l.maxConns, l.memory = conns, memory }
+
+// SetLimits sets the limits on the heads of requests. They apply at once, also to heads that are being read.
+func (l *Listener) SetLimits(limits Limits) { l.limits.set(limits) }
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	l.beginAccept()
-	tcp, err := l.AcceptTCP()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.accepting--
-	if err != nil {
-		return nil, err
+	defer l.endAccept()
+	for {
+		tcp, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(tcp); c != nil {
+			return c, nil
+		}
+		l.countClosed(Refused)
+		_ = tcp.Close()
 	}
-	now := time.Now()
-	c := &Conn{TCPConn: tcp, listener: l, accepted: now, since: now}
-	l.conns[c] = struct{}{}
-	return c, nil
 }
 
 func (l *Listener) beginAccept() {
@@ -45,6 +59,12 @@
 	l.accepting++
 }
 
+func (l *Listener) endAccept() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepting--
+}
+
 // ConnState must be the ConnState hook of the http.Server that serves a Listener.
 func ConnState(c net.Conn, s http.ConnState) {
 	if conn, ok := c.(*Conn); ok && s == http.StateIdle {
@@ -113,6 +133,7 @@
 	return len(l.conns) == 0 && l.accepting == 0
 }
 
+// remove forgets a connection that begins to close.
 func (l *Listener) remove(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
