ingress, gateway: published limits on heads apply, and budgets for connections and memory

Cause: callers can make a gateway run out of memory or descriptors. With 64 MiB and 256 descriptors, 400 callers brought a process to 396 MiB and 999 descriptors.

Change: the callers' server passes the published limits on heads to its listener. The gateway reads limits.max_fds and derives budgets from it and from limits.memory_mb: a quarter of the memory for what nobody has admitted and nobody reads, half of the descriptors that the process does not need for callers. The control, readiness and operators' listeners have budgets of their own and the same limits in time and bytes. An incomplete body is refused with 503 no_memory when its connection is needed, and requests are refused before they run while unread answers exceed the budget. Beyond three quarters of the connection budget, answers close their connections. Budgets for large bodies shrink with an instance smaller than the usual one. Event 521 and the counter callers_refused have a line and a count for each reason, once a second.

TestHeadWithoutEnd names the limit by its new constant; the limit before a configuration is known is the same 64 KiB.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -66,6 +66,7 @@
 	{RequestBlockBegan, "request_block_began", Error, "Requests of one content are blocked because they crash the endpoints that run them."},
 	{CrashCauseFound, "crash_cause_found", Error, "Requests that share something are blocked because they crash the endpoints that run them, whatever else they hold."},
 	{CrashCauseRefuted, "crash_cause_refuted", Warning, "What requests share no longer counts as crashing endpoints: one of them has completed, or an operator has lifted the block."},
+	{CallersRefused, "callers_refused", Warning, "Callers' connections were closed, or their requests refused before they ran, for a limit or a budget."},
 	{LimitReached, "limit_reached", Info, "A workspace has reached the limits of its plan."},
 	{TicketRefused, "ticket_refused", Info, "A ticket or idempotency key was refused."},
 	{HandoverSent, "handover_sent", Info, "The redemption records of a stopping router were handed over to its peers."},
--- a/internal/event/number.go
+++ b/internal/event/number.go
@@ -91,6 +91,7 @@
 	RequestBlockBegan     Number = 518
 	CrashCauseFound       Number = 519
 	CrashCauseRefuted     Number = 520
+	CallersRefused        Number = 521
 	StoreReturned         Number = 803
 	HistoryGone           Number = 804
 	StoreRestored         Number = 805
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,8 @@
 	items        itemsCache
 	pulls        chan struct{} // holds an element for each pull in progress
 	callers      *ingress.Server
+	meter        *ingress.Meter
+	budgets      budgets
 	listenerErrs chan error
 
 	peerHTTPClient *http.Client // for the control addresses of peers
@@ -87,7 +89,10 @@
 	options.Incarnation = fleet.Incarnation(uint32(randomSeed))
 	options.FirstStart = settings.FirstStart
 	p.loop = newLoop(control.New(boottime.Now(), options), p.execute)
-	p.callers = ingress.New(p.loop, o.HeaderCodec, p.client, ingress.NewMeter(p.metrics.Scope()))
+	p.meter = ingress.NewMeter(p.metrics.Scope())
+	p.callers = ingress.New(p.loop, o.HeaderCodec, p.client, p.meter)
+	p.budgets = newBudgets(settings.MemoryMB, settings.MaxFDs)
+	p.callers.SetBudgets(p.budgets.callers, p.budgets.memory, p.budgets.bodyShare)
 	if err := p.listenPeers(options.Incarnation); err != nil {
 		return err
 	}
@@ -134,15 +139,15 @@
 	if err := p.serveCallers(s.Listen.Callers); err != nil {
 		return err
 	}
-	for addr, srv := range map[string]*http.Server{
-		s.Listen.Balancer: newInternalServer(p.balancerHandler()),
-		s.Listen.Control:  newInternalServer(p.controlHandler()),
-		s.Listen.Operator: newInternalServer(p.operatorHandler()),
+	for _, internal := range []internalListener{
+		{"ready", s.Listen.Balancer, p.balancerHandler(), p.budgets.ready},
+		{"control", s.Listen.Control, p.controlHandler(), p.budgets.control},
+		{"operator", s.Listen.Operator, p.operatorHandler(), p.budgets.operator},
 	} {
-		if addr == "" {
+		if internal.addr == "" {
 			continue
 		}
-		if err := p.serve(srv, addr); err != nil {
+		if err := p.serve(internal); err != nil {
 			return err
 		}
 	}
@@ -179,19 +184,6 @@
 	return nil
 }
 
-func (p *process) serve(s *http.Server, addr string) error {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errors.Wrap(err, "gateway: listen")
-	}
-	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			p.listenerErrs <- err
-		}
-	}()
-	return nil
-}
-
 // execute performs an action of the control state. It must not block, since it runs on the
 // goroutine of the loop.
 func (p *process) execute(a control.Action) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,6 +23,7 @@
 	CPUMillis   uint32  // processor share in thousandths of a core, 0: unknown
 	LinkMbps    float64 // bandwidth of the instance's link in Mbit/s, 0: unknown
 	MemoryMB    float64 // memory of the instance in MiB, beyond which the process is killed, 0: unknown
+	MaxFDs      int     // descriptors that the process may have open, 0: unknown
 	FirstStart  bool    // the whole fleet starts for the first time
 }
 
--- a/internal/ingress/announce_test.go
+++ b/internal/ingress/announce_test.go
@@ -6,14 +6,16 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/callerconn"
 )
 
 // TestHeadWithoutEnd guards against a caller that occupies memory with a head without end.
 func TestHeadWithoutEnd(t *testing.T) {
 	ts := startTestServer(t, answerGood)
-	t.Cleanup(func() { time.Sleep(600 * time.Millisecond) }) // net/http's goroutine waits for 500 ms after such an answer
+	t.Cleanup(func() { time.Sleep(600 * time.Millisecond) }) // the connection lingers after such an answer
 	c := ts.dial()
-	c.send(t, "GET /idempotent/x HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("x", maxHeadBytes+8<<10))
+	c.send(t, "GET /idempotent/x HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("x", callerconn.DefaultHeadBytes+8<<10))
 	c.answerIn(t, 5*time.Second, http.StatusRequestHeaderFieldsTooLarge)
 }
 
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/dandelionvane/dandelionvane/internal/bytebudget"
+	"github.com/dandelionvane/dandelionvane/internal/callerconn"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/exchange"
 	"github.com/dandelionvane/dandelionvane/internal/sse"
@@ -91,6 +92,7 @@
 		c.w.Header().Set("Content-Length", strconv.FormatInt(d.body.Len(), 10))
 	}
 	c.w.WriteHeader(d.status)
+	callerconn.ChargeAnswer(c.r.Context(), min(d.body.Len(), freeBodyBytes)) // the responses' budget has the rest
 	for _, chunk := range d.body.Parts() {
 		if _, err := c.w.Write(chunk); err != nil {
 			c.response.writeFailed(err)
@@ -202,6 +204,7 @@
 	a.noteSurvived()
 	a.response.lastEventID, a.response.lastEventNumber = string(ev.ID), n
 	a.w.extendWriteDeadline()
+	callerconn.ChargeAnswer(a.r.Context(), int64(len(ev.Raw)))
 	_, err := a.w.Write(ev.Raw)
 	if err == nil {
 		err = a.w.flush()
--- a/internal/ingress/answerwriter.go
+++ b/internal/ingress/answerwriter.go
@@ -66,7 +66,7 @@
 // announce sets the header that tells how long the connection is kept: Keep-Alive with whole seconds, or "Connection:
 // close".
 func (w *answerWriter) announce() {
-	if w.callers.stopping.Load() {
+	if !w.callers.keeps() {
 		w.Header().Set("Connection", "close")
 		return
 	}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/bytebudget"
+	"github.com/dandelionvane/dandelionvane/internal/callerconn"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/crasher"
 	"github.com/dandelionvane/dandelionvane/internal/event"
@@ -67,6 +68,10 @@
 		return
 	}
 	defer c.releaseBodies()
+	if !callerconn.HasMemory(c.r.Context()) {
+		c.respondNotRun(control.ReasonNoMemory, jitteredRetryAfter())
+		return
+	}
 	c.fingerprint, c.shares = c.computeFingerprint(), c.findShares()
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
@@ -81,7 +86,7 @@
 	// The result if the event loop has ended.
 	c.admission = control.Admission{Reason: control.ReasonNoConfig, RetryAfter: endedRetryAfter}
 	c.s.control.Do(func(st *control.State, now boottime.Instant) {
-		c.s.callers.setIdleTimeout(st.Limits().IdleTimeout)
+		c.s.callers.setLimits(st.Limits())
 		c.admission = st.Admit(now, control.AdmissionRequest{
 			Host:          c.r.Host,
 			Path:          c.r.URL.Path,
@@ -136,13 +141,15 @@
 	}
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline)
+	callerconn.BeginBody(c.r.Context())
 	body, err := c.s.memory.readRequest(c.w.ResponseWriter, c.r, c.admission.BodyLimit)
+	callerconn.EndBody(c.r.Context())
 	_ = rc.SetReadDeadline(time.Time{})
 	switch {
 	case errors.Is(err, bytebudget.ErrTooLarge):
 		c.reject(http.StatusRequestEntityTooLarge, "the body is larger than allowed")
 		return false
-	case errors.Is(err, bytebudget.ErrExhausted):
+	case errors.Is(err, bytebudget.ErrExhausted), errors.Is(err, callerconn.ErrMemory):
 		c.respondNotRun(control.ReasonNoMemory, jitteredRetryAfter())
 		return false
 	case err != nil && !time.Now().Before(c.deadline):
--- a/internal/ingress/callers.go
+++ b/internal/ingress/callers.go
@@ -12,14 +12,10 @@
 	"github.com/dandelionvane/dandelionvane/internal/callerconn"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/event"
+	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
 
 const (
-	// headTimeout limits the time to receive a request's head. It is fixed: the published header timeout is not
-	// enforced.
-	headTimeout = 10 * time.Second
-	// maxHeadBytes limits the head of a request before the published limit is known; net/http allows 4 KiB more.
-	maxHeadBytes = 64 << 10
 	// lastAnswerTime is how long before the end of a planned stop all connections without a request are closed, so that
 	// requests that have arrived by then can still be answered.
 	lastAnswerTime = 300 * time.Millisecond
@@ -32,13 +28,15 @@
 	idleTimeout atomic.Int64 // published, ns; 0 if unknown or none
 	stopping    atomic.Bool  // answers close their connections
 	drainEnd    atomic.Int64 // end of the planned stop, Unix ns; 0 until the listener is closed
+	maxConns    int          // 0: no bound
+	unadmitted  *callerconn.Budget
 }
 
 func newCallers(h http.Handler) *callers {
 	return &callers{http: &http.Server{
 		Handler:           h,
-		ReadHeaderTimeout: headTimeout,
-		MaxHeaderBytes:    maxHeadBytes,
+		ReadHeaderTimeout: callerconn.MaxHeadTimeout, // callerconn enforces the limits that apply now
+		MaxHeaderBytes:    callerconn.MaxHeadBytes,
 		ConnState:         callerconn.ConnState,
 		ConnContext:       callerconn.ConnContext,
 	}}
@@ -47,6 +45,7 @@
 // Serve serves callers until Drain or Close is called, or returns the listener's error.
 func (s *Server) Serve(l *net.TCPListener) error {
 	listener := callerconn.NewListener(l)
+	listener.SetBudgets(s.callers.maxConns, s.callers.unadmitted)
 	s.callers.listener.Store(listener)
 	err := s.callers.http.Serve(listener)
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
@@ -61,13 +60,14 @@
 // CloseIdle closes the callers' connections without a request whose time is over: the longer of the published idle
 // timeout and the one that their last answer announced, plus callerconn.Margin.
 func (s *Server) CloseIdle() {
-	s.control.Do(func(st *control.State, _ boottime.Instant) { s.callers.setIdleTimeout(st.Limits().IdleTimeout) })
+	s.control.Do(func(st *control.State, _ boottime.Instant) { s.callers.setLimits(st.Limits()) })
 	l := s.callers.listener.Load()
 	if l == nil {
 		return
 	}
 	l.Sweep(callerconn.Idle, s.callers.publishedIdleTimeout())
 	s.recordClosed(l, callerconn.Idle, EndIdle)
+	s.meter.RecordRefused(l, "callers")
 }
 
 // recordClosed records the connections without a request that have been closed since the last call.
@@ -126,6 +126,17 @@
 	return end != 0 && end < t.UnixNano()
 }
 
-func (c *callers) setIdleTimeout(d time.Duration) { c.idleTimeout.Store(int64(d)) }
+func (c *callers) setLimits(limits routing.Limits) {
+	c.idleTimeout.Store(int64(limits.IdleTimeout))
+	if l := c.listener.Load(); l != nil {
+		l.SetLimits(callerconn.Limits{HeadBytes: limits.MaxHeaderBytes, HeadTimeout: limits.HeaderTimeout})
+	}
+}
+
+// keeps reports whether connections are kept between requests.
+func (c *callers) keeps() bool {
+	l := c.listener.Load()
+	return !c.stopping.Load() && (l == nil || !l.Crowded())
+}
 
 func (c *callers) publishedIdleTimeout() time.Duration { return time.Duration(c.idleTimeout.Load()) }
--- a/internal/ingress/memory.go
+++ b/internal/ingress/memory.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/dandelionvane/dandelionvane/internal/bytebudget"
+	"github.com/dandelionvane/dandelionvane/internal/callerconn"
 	"github.com/dandelionvane/dandelionvane/internal/exchange"
 )
 
@@ -35,6 +36,15 @@
 	}
 }
 
+// SetBudgets bounds the number of callers' connections, and the memory for what is not admitted yet or not read by callers.
+// bodyShare is the memory of the instance as a part of the smallest usual one's; the budgets for large bodies shrink with it. It must
+// be called before Serve.
+func (s *Server) SetBudgets(conns int, unadmitted *callerconn.Budget, bodyShare float64) {
+	s.callers.maxConns, s.callers.unadmitted = conns, unadmitted
+	s.memory.requests.Limit = int64(min(bodyShare, 1) * requestBudgetBytes)
+	s.memory.responses.Limit = int64(min(bodyShare, 1) * responseBudgetBytes)
+}
+
 // readRequest reads the body of a caller's request, of up to maxBytes if that is set. It is nil if
 // there is none. The errors of package bytebudget are returned unchanged.
 func (m *memory) readRequest(w http.ResponseWriter, r *http.Request, maxBytes int64) (*bytebudget.Body, error) {
--- a/internal/ingress/meter.go
+++ b/internal/ingress/meter.go
@@ -4,6 +4,9 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/dandelionvane/dandelionvane/internal/callerconn"
+	"github.com/dandelionvane/dandelionvane/internal/event"
 )
 
 // latencyBuckets are the upper bounds of the latency histograms' buckets.
@@ -38,6 +41,19 @@
 	m.scope.Tagged(map[string]string{"cause": cause.String()}).Counter("callers_ended").Inc(int64(n))
 }
 
+// RecordRefused records the connections of a listener that were closed, or whose requests were refused, for a limit or a budget
+// since the last call, with one line for each reason. listener names it.
+func (m *Meter) RecordRefused(l *callerconn.Listener, listener string) {
+	for why := callerconn.Connections; why <= callerconn.Refused; why++ {
+		n := l.Closed(why)
+		if n == 0 {
+			continue
+		}
+		event.LogFields(event.CallersRefused, "listener", listener, "cause", why, "connections", n, "open", l.Len())
+		m.scope.Tagged(map[string]string{"listener": listener, "cause": why.String()}).Counter("callers_refused").Inc(int64(n))
+	}
+}
+
 // attemptEnded counts an attempt by endpoint and result.
 func (m *Meter) attemptEnded(a *attempt) {
 	m.scope.Tagged(map[string]string{"endpoint": string(a.placed.Endpoint), "result": a.result.String()}).Counter("attempts").Inc(1)
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -81,7 +81,7 @@
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration // for receiving a request's header; not enforced
+	HeaderTimeout  time.Duration // for receiving a request's header
 	IdleTimeout    time.Duration // of a connection without a request
 }
 
