ingress: test that refusals of callers are counted by cause

Cause: the counter callers_refused had no test.

Change: a test sends a head over the limit, a late one and a malformed one, and reads the metrics.

--- a/internal/ingress/budgets_test.go
+++ b/internal/ingress/budgets_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -137,3 +138,39 @@
 		t.Errorf("the announced close: %v", err)
 	}
 }
+
+// TestRefusalsAreCounted guards against a crowd that operators cannot see.
+func TestRefusalsAreCounted(t *testing.T) {
+	reg := metrics.New()
+	defer reg.Close()
+	meter := NewMeter(reg.Scope())
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := callerconn.NewListener(tcp.(*net.TCPListener))
+	l.SetLimits(callerconn.Limits{HeadBytes: 500, HeadTimeout: 100 * time.Millisecond})
+	srv := &http.Server{ReadHeaderTimeout: time.Minute, ConnState: callerconn.ConnState, ConnContext: callerconn.ConnContext}
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Close()
+	for _, head := range []string{"GET /" + strings.Repeat("x", 16<<10), "GET / HT", "\r\n"} {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, head)
+		_, _ = io.ReadAll(conn)
+		_ = conn.Close()
+	}
+	meter.RecordRefused(l, "callers")
+	w := httptest.NewRecorder()
+	for end := time.Now().Add(5 * time.Second); strings.Count(w.Body.String(), `listener="callers"} 1`) < 3 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		w = httptest.NewRecorder()
+		reg.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	}
+	for _, cause := range []callerconn.Reason{callerconn.HeadTooLarge, callerconn.HeadLate, callerconn.HeadMalformed} {
+		if want := `callers_refused{cause="` + cause.String() + `",listener="callers"} 1`; !strings.Contains(w.Body.String(), want) {
+			t.Errorf("no %s in %s", want, w.Body)
+		}
+	}
+}
