--- a/internal/event/number.go
+++ b/internal/event/number.go
@@ -92,6 +92,7 @@
 	CrashCauseFound       Number = 519
 	CrashCauseRefuted     Number = 520
 	ContentionChanged     Number = 521
+	CallersRefused        Number = 522
 	StoreReturned         Number = 803
 	HistoryGone           Number = 804
 	StoreRestored         Number = 805
