--- a/internal/cost/learning_test.go
+++ b/internal/cost/learning_test.go
@@ -293,10 +293,10 @@
 	if _, ok := m.Observe(Observation{Request: long, First: 1}); ok {
 		t.Error("learned from a request with an endless name")
 	}
-	if routes, services := len(m.routes.entries), len(m.services.entries); routes != maxRoutes || services != maxServices {
+	if routes, services := m.routes.Len(), m.services.Len(); routes != maxRoutes || services != maxServices {
 		t.Errorf("%d routes and %d services, want %d and %d", routes, services, maxRoutes, maxServices)
 	}
-	if m.routes.peek(routeKey{"chat", "used"}) == nil {
+	if m.routes.Peek(routeKey{"chat", "used"}) == nil {
 		t.Error("a route in use was evicted")
 	}
 }
--- a/internal/cost/model.go
+++ b/internal/cost/model.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/lru"
 )
 
 const (
@@ -62,8 +63,8 @@
 
 // Model learns the cost of requests.
 type Model struct {
-	services *lruTable[fleet.ServiceID, serviceModel]
-	routes   *lruTable[routeKey, routeModel]
+	services *lru.Table[fleet.ServiceID, serviceModel]
+	routes   *lru.Table[routeKey, routeModel]
 }
 
 type routeKey struct {
@@ -97,15 +98,15 @@
 // New returns a model without observations.
 func New() *Model {
 	return &Model{
-		services: newLRUTable[fleet.ServiceID, serviceModel](maxServices),
-		routes:   newLRUTable[routeKey, routeModel](maxRoutes),
+		services: lru.New[fleet.ServiceID](maxServices, serviceModel{}),
+		routes:   lru.New[routeKey](maxRoutes, routeModel{}),
 	}
 }
 
 // Estimate returns the cost of a request.
 func (m *Model) Estimate(r Request) Estimate {
 	r.sanitize()
-	svc, route := m.services.peek(r.Service), m.routes.peek(routeKey{r.Service, r.Route})
+	svc, route := m.services.Peek(r.Service), m.routes.Peek(routeKey{r.Service, r.Route})
 	if svc == nil {
 		svc = &unobserved
 	}
@@ -147,7 +148,7 @@
 
 // ServiceTime returns the mean time for which a request holds a slot, 0 if it is unknown.
 func (m *Model) ServiceTime(service fleet.ServiceID) time.Duration {
-	if svc := m.services.peek(service); svc != nil {
+	if svc := m.services.Peek(service); svc != nil {
 		return svc.serviceTime()
 	}
 	return 0
@@ -232,14 +233,14 @@
 // entries returns the models of the request's service and route, new ones if there are none.
 func (m *Model) entries(r *Request) (*serviceModel, *routeModel) {
 	key := routeKey{r.Service, r.Route}
-	if m.routes.peek(key) == nil { // the names may be parts of a larger string, which an entry must not retain
+	if m.routes.Peek(key) == nil { // the names may be parts of a larger string, which an entry must not retain
 		key = routeKey{fleet.ServiceID(strings.Clone(string(r.Service))), strings.Clone(r.Route)}
 	}
-	svc := m.services.touch(key.service)
+	svc := m.services.Touch(key.service)
 	if svc.read.count == 0 && svc.read.perToken == 0 {
 		svc.read = newReadFit()
 	}
-	return svc, m.routes.touch(key)
+	return svc, m.routes.Touch(key)
 }
 
 // sanitize replaces absurd figures by 0 or by the largest that is believed.
--- a/internal/cost/snapshot.go
+++ b/internal/cost/snapshot.go
@@ -38,9 +38,8 @@
 
 // Snapshot returns what the model has learned.
 func (m *Model) Snapshot() Snapshot {
-	out := Snapshot{Services: make([]ServiceSnapshot, 0, len(m.services.entries)), Routes: len(m.routes.entries)}
-	for id, e := range m.services.entries {
-		s := &e.value
+	out := Snapshot{Services: make([]ServiceSnapshot, 0, m.services.Len()), Routes: m.routes.Len()}
+	for id, s := range m.services.All() {
 		perEvent, _ := s.perEvent.refine(math.Log(priorPerEvent), 0)
 		request, _ := s.times.estimate(nil)
 		out.Services = append(out.Services, ServiceSnapshot{
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/lru"
 )
 
 // Options configures a Budget. A per-key bucket is that of one workspace or one endpoint.
@@ -58,29 +59,30 @@
 	}
 }
 
-// Budget holds the retry token buckets of one router.
+// Budget holds the retry token buckets of one router. A bucket that was evicted starts with its initial tokens again; the
+// router's bucket, which is never evicted, bounds the additional retries.
 type Budget struct {
 	opts       Options
 	router     float64
-	workspaces *lruTable[fleet.WorkspaceID]
-	endpoints  *lruTable[fleet.EndpointID]
+	workspaces *lru.Table[fleet.WorkspaceID, float64]
+	endpoints  *lru.Table[fleet.EndpointID, float64]
 }
 
 // NewBudget returns a Budget whose router bucket is empty.
 func NewBudget(opts Options) *Budget {
 	return &Budget{
 		opts:       opts,
-		workspaces: newLRUTable[fleet.WorkspaceID](opts.MaxWorkspaces),
-		endpoints:  newLRUTable[fleet.EndpointID](opts.MaxEndpoints),
+		workspaces: lru.New[fleet.WorkspaceID](opts.MaxWorkspaces, opts.PerKeyInitialTokens),
+		endpoints:  lru.New[fleet.EndpointID](opts.MaxEndpoints, opts.PerKeyInitialTokens),
 	}
 }
 
 // FirstAttempt records the first attempt of a request and adds tokens to the three buckets.
 func (b *Budget) FirstAttempt(ws fleet.WorkspaceID, ep fleet.EndpointID) {
 	b.router = min(b.router+b.opts.RouterRatio, b.opts.RouterBurst)
-	w := b.workspaces.get(ws, b.opts.PerKeyInitialTokens)
+	w := b.workspaces.Touch(ws)
 	*w = min(*w+b.opts.PerKeyRatio, b.opts.PerKeyBurst)
-	e := b.endpoints.get(ep, b.opts.PerKeyInitialTokens)
+	e := b.endpoints.Touch(ep)
 	*e = min(*e+b.opts.PerKeyRatio, b.opts.PerKeyBurst)
 }
 
@@ -90,11 +92,11 @@
 	if b.router < 1 {
 		return DeniedByRouter
 	}
-	w := b.workspaces.get(ws, b.opts.PerKeyInitialTokens)
+	w := b.workspaces.Touch(ws)
 	if *w < 1 {
 		return DeniedByWorkspace
 	}
-	e := b.endpoints.get(ep, b.opts.PerKeyInitialTokens)
+	e := b.endpoints.Touch(ep)
 	if *e < 1 {
 		return DeniedByEndpoint
 	}
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -125,10 +125,10 @@
 	for i := range 100 {
 		b.FirstAttempt(fleet.WorkspaceID(fmt.Sprint(i)), fleet.EndpointID(fmt.Sprint(i)))
 	}
-	if w, e := len(b.workspaces.entries), len(b.endpoints.entries); w != 3 || e != 3 {
+	if w, e := b.workspaces.Len(), b.endpoints.Len(); w != 3 || e != 3 {
 		t.Fatalf("kept %d workspaces and %d endpoints", w, e)
 	}
-	if b.workspaces.entries["99"] == nil || b.workspaces.entries["97"] == nil {
+	if b.workspaces.Peek("99") == nil || b.workspaces.Peek("97") == nil {
 		t.Fatal("evicted the most recently used workspace")
 	}
 }
