--- a/internal/contention/admit.go
+++ b/internal/contention/admit.go
@@ -56,23 +56,47 @@
 // rankScale is the number of requests to which ranks are scaled.
 const rankScale = 1000
 
+// assessment is the place of a request in the order, and what follows from it under contention.
+type assessment struct {
+	observed observed
+	rank     int
+	chance   float64 // of admission; 1 or more: certain
+	reason   Reason  // of a rejection
+}
+
 // Admit counts a request and decides whether it is admitted.
 func (c *Controller) Admit(now boottime.Instant, r Request) Decision {
 	c.sample.sequence++
-	o := observed{at: now, workspace: r.Workspace, weight: 1, variate: variate(c.seed, c.sample.sequence), admitted: true}
+	v := variate(c.seed, c.sample.sequence)
 	if !c.contended(now) {
-		o.key = c.key(&r, false)
-		c.sample.push(o)
+		c.sample.push(observed{at: now, key: c.key(&r, false), workspace: r.Workspace, weight: 1, variate: v, admitted: true})
 		return Decision{Admitted: true}
 	}
 	c.sample.expire(now, &c.opts)
-	o.preferred = c.mayPrefer(&r)
-	o.key = c.markShare(c.key(&r, o.preferred), c.shares.within(o.workspace), o.variate)
+	a := c.assess(now, &c.sample, &r, v)
+	d := Decision{Rank: a.rank}
+	if a.reason == ReasonDeadline {
+		d.Reason, d.RetryAfter = ReasonDeadline, c.retryAfter(now, &r)
+		return d
+	}
+	d.Admitted = a.chance >= 1 || c.rng.Float64() < a.chance
+	if !d.Admitted {
+		d.Reason, d.RetryAfter = a.reason, c.retryAfter(now, &r)
+	}
+	a.observed.admitted = d.Admitted
+	c.sample.push(a.observed)
+	return d
+}
+
+// assess assesses a request among those of a sample without expired ones. It has no effects.
+func (c *Controller) assess(now boottime.Instant, sample *requestSample, r *Request, variate float32) assessment {
+	o := observed{at: now, workspace: r.Workspace, variate: variate, preferred: c.mayPrefer(sample, r)}
+	o.key = c.markShare(c.key(r, o.preferred), c.shares.within(o.workspace), o.variate)
 	o.weight = c.shares.weight(o.workspace)
 	var before, same, notLater float32
 	total := o.weight
-	for i := range c.sample.len {
-		e := c.sample.at(i)
+	for i := range sample.len {
+		e := sample.at(i)
 		total += e.weight
 		if e.key < o.key {
 			before += e.weight
@@ -87,23 +111,17 @@
 	if missing := float32(c.opts.MinSample) - total; missing > 0 {
 		own, total = own+missing, total+missing
 	}
-	d := Decision{Rank: min(int(before/total*rankScale), rankScale-1)}
-	if c.startsTooLate(&r, float64((notLater+own)/total)) {
-		d.Reason, d.RetryAfter = ReasonDeadline, c.retryAfter(now, &r)
-		return d
+	a := assessment{observed: o, rank: min(int(before/total*rankScale), rankScale-1), reason: ReasonOrder}
+	if c.startsTooLate(r, float64((notLater+own)/total)) {
+		a.reason = ReasonDeadline
+		return a
 	}
-	chance := (c.loop.share*float64(total) - float64(before)) / float64(same+own)
-	chance = max(chance, c.opts.MinShare)
-	d.Admitted = chance >= 1 || c.rng.Float64() < chance
-	if !d.Admitted {
-		d.Reason, d.RetryAfter = ReasonOrder, c.retryAfter(now, &r)
-		if o.key&aboveBit != 0 {
-			d.Reason = ReasonShare
-		}
+	if o.key&aboveBit != 0 {
+		a.reason = ReasonShare
 	}
-	o.admitted = d.Admitted
-	c.sample.push(o)
-	return d
+	a.chance = (c.loop.share*float64(total) - float64(before)) / float64(same+own)
+	a.chance = max(a.chance, c.opts.MinShare)
+	return a
 }
 
 // key returns the position of a request in the order, without regard to its workspace's share.
@@ -131,13 +149,13 @@
 
 // mayPrefer reports whether a request comes from a returning caller that precedes new ones: those that did are less than the
 // allowed part of the recently admitted requests of their level.
-func (c *Controller) mayPrefer(r *Request) bool {
+func (c *Controller) mayPrefer(sample *requestSample, r *Request) bool {
 	if !c.returning(r) {
 		return false
 	}
 	admitted, preferred := 0, 0
-	for i := range c.sample.len {
-		if o := c.sample.at(i); o.admitted && o.key>>levelShift == level(r) {
+	for i := range sample.len {
+		if o := sample.at(i); o.admitted && o.key>>levelShift == level(r) {
 			admitted++
 			if o.preferred {
 				preferred++
@@ -157,18 +175,24 @@
 }
 
 // retryAfter returns the time in which the excess that has been turned away drains, with jitter.
+func (c *Controller) retryAfter(now boottime.Instant, r *Request) time.Duration {
+	low, high := c.retryAfterBounds(now, r)
+	return time.Duration(low + c.rng.Float64()*(high-low))
+}
+
+// retryAfterBounds returns the bounds of the jittered Retry-After, in nanoseconds.
 // The jitter stays between the bounds and below the part of the time left, since a value that many callers
 // are cut to would bring them back at the same time.
-func (c *Controller) retryAfter(now boottime.Instant, r *Request) time.Duration {
+func (c *Controller) retryAfterBounds(now boottime.Instant, r *Request) (low, high float64) {
 	mean := (1/max(c.loop.share, c.opts.MinShare) - 1) * float64(now.Sub(c.loop.since))
 	mean = min(max(mean, float64(c.opts.MinRetryAfter)), float64(c.opts.MaxRetryAfter))
-	low := max(mean/2, float64(c.opts.MinRetryAfter))
-	high := min(mean*3/2, float64(c.opts.MaxRetryAfter))
+	low = max(mean/2, float64(c.opts.MinRetryAfter))
+	high = min(mean*3/2, float64(c.opts.MaxRetryAfter))
 	if r.TimeLeft != 0 {
 		high = min(high, c.opts.RetryTimeShare*float64(max(r.TimeLeft, 0)))
 		if low > high {
 			low = high / 2
 		}
 	}
-	return time.Duration(low + c.rng.Float64()*(high-low))
+	return low, high
 }
