control: explanations with estimated times and the decision under contention

Cause: where endpoints report speeds, or a service is contended, an explanation did not say why a request would go to an endpoint, and did not know rejections because of contention. Token counts had no effect on it. Change: Explain estimates the times at each endpoint, says which were compared, and gives the probability of admission and the workspace's share, with the inputs that Admit and Place use; what peers report about speeds and prompts is an input of the placement that Explain computes without keeping it. The share of a workspace is the part of its requests that is within it, as the controller knows it, instead of a number of requests; the test of the table expects the new texts. An attempt has its estimate.

--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -7,6 +7,7 @@
 package backlog
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -85,6 +86,13 @@
 	return &Tracker{attempts: map[any]pendingRead{}, own: map[uint32]time.Duration{}, speeds: map[uint32]endpointSpeed{}}
 }
 
+// Clone returns an independent copy.
+func (t *Tracker) Clone() *Tracker {
+	c := *t
+	c.attempts, c.own, c.speeds = maps.Clone(t.attempts), maps.Clone(t.own), maps.Clone(t.speeds)
+	return &c // the peers' sums are replaced, never changed
+}
+
 // Sent records that an attempt was sent to an endpoint, which is expected to need the time read to prefill its prompt. The
 // attempt is any comparable value that identifies it.
 func (t *Tracker) Sent(_ boottime.Instant, endpoint uint32, attempt any, read time.Duration) {
--- a/internal/cli/place_test.go
+++ b/internal/cli/place_test.go
@@ -90,23 +90,29 @@
 	return x
 }
 
-// TestPlaceTableOfFutureFields: the parts of a decision that other versions of a gateway fill in are shown, and control characters
-// of any text are not.
-func TestPlaceTableOfFutureFields(t *testing.T) {
+// TestPlaceTableUnderLoad: estimated times, the decision under contention and the workspace's share are shown, and control
+// characters of any text are not.
+func TestPlaceTableUnderLoad(t *testing.T) {
 	x := fakeExplanation("g-\x1b[2J", "/chat/", "w")
-	x.Endpoints[0].Times = &control.EstimatedTimes{TotalMS: 130, WaitMS: 100, ReadMS: 25, DistanceMS: 5, SpeedPercent: 250, SpeedAgeMS: 80}
-	x.WorkspaceShare = &control.WorkspaceShare{Running: 9, Share: 12.5, AgeMS: 200}
-	x.Contention = &control.ContentionDecision{SinceMS: 1500, Utilization: 1.6, Target: 1.1, AdmittedShare: 0.7, Rank: 3}
+	age, running := int64(80), 9
+	x.Endpoints[0].Times = &control.EstimatedTimes{TotalMS: 130, WaitMS: 100, ReadMS: 25, DistanceMS: 5, PendingReadMS: 41, SpeedPercent: 250, SpeedAgeMS: &age, Compared: true}
+	x.Endpoints[1].Times = &control.EstimatedTimes{SpeedPercent: 100}
+	x.WorkspaceShare = &control.WorkspaceShare{Running: &running, Share: 0.125, AgeMS: 200}
+	x.Contention = &control.ContentionDecision{SinceMS: 1500, Utilization: 1.6, Target: 1.1, AdmittedShare: 0.7, Rank: 3, Probability: 0.34, Reason: "share", RetryAfterMS: 800}
 	x.Endpoints[1].Excluded = "\u009bbound"
 	var out bytes.Buffer
 	if err := writePlace(&out, &x); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"first_event_ms", "100+25+5", "250% (80 ms old)", "9 requests of its share of 12.5", "contended for 1500 ms", "?bound"} {
+	for _, want := range []string{"first_event_ms", "100+25+5", "250% (80 ms old)", "12% of the workspace's requests are within its share; it runs 9 requests (200 ms old)", "contended for 1500 ms", "?bound",
+		"pending_prefill_ms", "41", "decision: e-2, if admitted: 34%, otherwise rejected: contention (share), Retry-After about 0.80 s\n"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in\n%s", want, out.String())
 		}
 	}
+	if strings.Contains(out.String(), "100%") {
+		t.Errorf("a speed that was not reported is shown in\n%s", out.String())
+	}
 	if strings.ContainsAny(out.String(), "\x1b\u009b") {
 		t.Errorf("control characters in %q", out.String())
 	}
--- a/internal/cli/placetable.go
+++ b/internal/cli/placetable.go
@@ -38,9 +38,19 @@
 	{"wait+read+distance", timesCell(func(t *control.EstimatedTimes) string {
 		return fmt.Sprintf("%.0f+%.0f+%.0f", t.WaitMS, t.ReadMS, t.DistanceMS)
 	})},
+	{"compared", timesCell(func(t *control.EstimatedTimes) string {
+		if !t.Compared {
+			return ""
+		}
+		return "yes"
+	})},
 	{"speed", timesCell(func(t *control.EstimatedTimes) string {
-		return fmt.Sprintf("%d%% (%d ms old)", t.SpeedPercent, t.SpeedAgeMS)
+		if t.SpeedAgeMS == nil {
+			return ""
+		}
+		return fmt.Sprintf("%d%% (%d ms old)", t.SpeedPercent, *t.SpeedAgeMS)
 	})},
+	{"pending_prefill_ms", timesCell(func(t *control.EstimatedTimes) string { return fmt.Sprintf("%.0f", t.PendingReadMS) })},
 	{"load", func(e *control.EndpointExplanation) string { return strconv.Itoa(e.Load) }},
 	{"unreported", func(e *control.EndpointExplanation) string {
 		if e.Unreported == 0 {
@@ -92,11 +102,11 @@
 	if x.Route != "" {
 		w.line("route %s (%s), workspace %s, priority %d, time limit %s", x.Route, x.Kind, cmp.Or(string(x.Workspace), "not given"), x.Priority, limitText(x.TimeLimitMS))
 	}
-	if share := x.WorkspaceShare; share != nil {
-		w.line("the workspace runs %d requests of its share of %.1f (%d ms old)", share.Running, share.Share, share.AgeMS)
-	}
 	if c := x.Contention; c != nil {
-		w.line("the service has been contended for %d ms: utilization %.2f, target %.2f, admitted share %.2f, rank %d", c.SinceMS, c.Utilization, c.Target, c.AdmittedShare, c.Rank)
+		w.line("the service has been contended for %d ms: utilization %.2f, target %.2f, admitted share %.2f, rank %d of 1000", c.SinceMS, c.Utilization, c.Target, c.AdmittedShare, c.Rank)
+	}
+	if share := x.WorkspaceShare; share != nil {
+		w.line("%.0f%% of the workspace's requests are within its share; %s", share.Share*100, runningText(share))
 	}
 	for _, s := range x.Services {
 		w.line("service %s gets %.1f%% of the requests", s.Service, s.Share*100)
@@ -113,7 +123,7 @@
 	if x.Decision.Reason != "" {
 		prefix = ""
 	}
-	w.line("%s%s", prefix, decisionText(x))
+	w.line("%s%s%s", prefix, decisionText(x), admissionText(x))
 	return w.err
 }
 
@@ -178,6 +188,13 @@
 	return fmt.Sprintf("%d ms", ms)
 }
 
+func runningText(share *control.WorkspaceShare) string {
+	if share.Running == nil {
+		return "it is not one of the workspaces with the most running requests"
+	}
+	return fmt.Sprintf("it runs %d requests (%d ms old)", *share.Running, share.AgeMS)
+}
+
 func boundText(bound *float64) string {
 	if bound == nil {
 		return ""
@@ -185,6 +202,15 @@
 	return fmt.Sprintf(", load bound %.1f", *bound)
 }
 
+// admissionText returns how likely the request is admitted, if that is not certain and the decision is not a rejection.
+func admissionText(x *control.Explanation) string {
+	c := x.Contention
+	if c == nil || c.Probability >= 1 || x.Decision.Reason != "" {
+		return ""
+	}
+	return fmt.Sprintf(", if admitted: %.0f%%, otherwise rejected: contention (%s), Retry-After about %.2f s", c.Probability*100, c.Reason, float64(c.RetryAfterMS)/1000)
+}
+
 // decisionText returns the decision on one line.
 func decisionText(x *control.Explanation) string {
 	d := &x.Decision
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -5,6 +5,7 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/contention"
+	"github.com/dandelionvane/dandelionvane/internal/cost"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
@@ -100,6 +101,11 @@
 	Contention  contention.Reason // with ReasonContention
 }
 
+// Goal returns the goal of a request whose route is known.
+func (ad *Admission) Goal() cost.Goal {
+	return cost.Goal{Latency: ad.Route.GoalLatency, EventGap: ad.Route.GoalEventGap, Priority: ad.Priority}
+}
+
 // admissionRetryAfter is the mean retry-after of a request that Admit rejects. The local snapshot is
 // usually renewed within this time, by a read of the store or by a peer's Status.
 const admissionRetryAfter = 500 * time.Millisecond
--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -27,7 +27,8 @@
 	Shares              crasher.Shares        // what the request may have in common with others
 	Suspected           bool                  // the request is suspected of crashing endpoints
 	SuspectedProgress   uint64                // number of the stream's event beyond which the request is cleared, see RequestProgressed
-	EndpointUnreachable <-chan struct{}       // closed when a connection attempt to the endpoint times out
+	Estimate            AttemptEstimate
+	EndpointUnreachable <-chan struct{} // closed when a connection attempt to the endpoint times out
 
 	cost                cost.Request
 	workspace           uint32        // shortWorkspaceID
--- a/internal/control/backlog.go
+++ b/internal/control/backlog.go
@@ -27,11 +27,25 @@
 	}
 	b.stale = false
 	reported := s.mesh.Backlog(now)
+	addPeerBacklog(now, b.tracker, &reported)
+	b.peerWorkspaces = reported.Workspaces
+}
+
+func addPeerBacklog(now boottime.Instant, t *backlog.Tracker, reported *mesh.Backlog) {
 	for endpoint, speed := range reported.Speeds {
-		b.tracker.PeerSpeed(now, endpoint, int(speed.Percent), now.Sub(speed.At))
+		t.PeerSpeed(now, endpoint, int(speed.Percent), now.Sub(speed.At))
 	}
-	b.tracker.PeerReads(now, reported.Reads)
-	b.peerWorkspaces = reported.Workspaces
+	t.PeerReads(now, reported.Reads)
+}
+
+// peekBacklog returns what refreshBacklog would result in, without effects. The caller must not change it.
+func (s *State) peekBacklog(now boottime.Instant) *backlog.Tracker {
+	if !s.backlog.stale {
+		return s.backlog.tracker
+	}
+	t, reported := s.backlog.tracker.Clone(), s.mesh.Backlog(now)
+	addPeerBacklog(now, t, &reported)
+	return t
 }
 
 // backlogOf returns the outstanding work and the speed of an endpoint.
--- a/internal/control/bytime.go
+++ b/internal/control/bytime.go
@@ -31,9 +31,9 @@
 }
 
 // timesAt returns the estimated times of a request at a candidate with a position in its rendezvous order.
-func (s *State) timesAt(now boottime.Instant, req *PlacementRequest, estimate *cost.Estimate, x *candidate, rank int) cost.Times {
-	b := s.backlog.tracker.Endpoint(now, x.shortID())
-	return estimate.At(cost.Candidate{
+func (s *State) timesAt(now boottime.Instant, req *PlacementRequest, w *weighing, x *candidate, rank int) cost.Times {
+	b := w.backlog.Endpoint(now, x.shortID())
+	return w.cost.At(cost.Candidate{
 		Rank:          rank,
 		Local:         x.DataCentre == s.opts.Self.DataCentre,
 		Speed:         b.Speed,
@@ -55,11 +55,10 @@
 			n = insertByWeight(order[:], n, x)
 		}
 	}
-	estimate := s.costs.Estimate(req.Cost)
 	var times [consideredByTime]cost.Times
 	var ranks [consideredByTime]int
 	for i, x := range order[:n] {
-		times[i], ranks[i] = s.timesAt(now, req, &estimate, x, i), i
+		times[i], ranks[i] = s.timesAt(now, req, w, x, i), i
 		x.times = &times[i]
 	}
 	chosen := cost.Choose(req.Goal, times[:n], ranks[:n], req.Affinity^uint64(req.Request))
@@ -86,8 +85,8 @@
 }
 
 // workload returns the load of a candidate with the request, less one, in requests of usual length.
-func (s *State) workload(now boottime.Instant, x *candidate) float64 {
-	b := s.backlog.tracker.Endpoint(now, x.shortID())
+func (w *weighing) workload(now boottime.Instant, x *candidate) float64 {
+	b := w.backlog.Endpoint(now, x.shortID())
 	return float64(x.load+x.unreported+1)*cost.ExpectedSpeed(b.Speed, b.SpeedAge) - 1
 }
 
@@ -96,7 +95,7 @@
 	if !s.uneven(now, a.endpoint.Service) || a.cost.PromptTokens == 0 {
 		return
 	}
-	read := s.costs.Estimate(a.cost).ReadUncached
+	read := w.cost.ReadUncached
 	for i := range w.candidates {
 		if x := &w.candidates[i]; x.endpoint == a.endpoint && x.times != nil {
 			read = x.times.Read
@@ -105,6 +104,33 @@
 	s.PromptSent(now, a, read)
 }
 
+// AttemptEstimate is what an attempt was estimated to cost when it was placed. Times are 0 where they are not known.
+type AttemptEstimate struct {
+	Read, Hold time.Duration // at an idle endpoint of usual speed: until the first event if nothing is cached, and for which a slot is held
+
+	FirstEvent time.Duration    // until the first event at the chosen endpoint, of an attempt that was placed by estimated time
+	RunnerUp   fleet.EndpointID // the fastest of the other endpoints that were compared; "": there is none
+	RunnerUpAt time.Duration    // until the first event there
+}
+
+// estimateAt returns the estimate of an attempt at an endpoint.
+func (w *weighing) estimateAt(e *endpoint) AttemptEstimate {
+	a := AttemptEstimate{Read: w.cost.ReadUncached, Hold: w.cost.Hold}
+	if w.rule != ruleAffinity {
+		return a
+	}
+	for i := range w.candidates {
+		switch x := &w.candidates[i]; {
+		case x.times == nil:
+		case x.endpoint == e:
+			a.FirstEvent = x.times.Total
+		case a.RunnerUp == "" || x.times.Total < a.RunnerUpAt:
+			a.RunnerUp, a.RunnerUpAt = x.ID, x.times.Total
+		}
+	}
+	return a
+}
+
 // learnCost learns from a complete response, and records how far off the estimate was.
 func (s *State) learnCost(now boottime.Instant, a *Attempt) {
 	if a.startedAt == 0 || a.cost.Service == "" {
--- a/internal/control/choose.go
+++ b/internal/control/choose.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/dandelionvane/dandelionvane/internal/backlog"
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/cost"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 )
 
@@ -43,9 +45,11 @@
 // weighing is the result of weigh: what there is to choose from, and the choice as far as it is not random.
 type weighing struct {
 	endpointClasses
-	rule   rule
-	bound  float64   // maximum load of an endpoint with this request; 0 unless the request has an affinity
-	chosen *endpoint // nil if the rule is ruleNone or ruleRandom
+	backlog *backlog.Tracker
+	cost    cost.Estimate // of the request at an endpoint of usual speed
+	rule    rule
+	bound   float64   // maximum load of an endpoint with this request; 0 unless the request has an affinity
+	chosen  *endpoint // nil if the rule is ruleNone or ruleRandom
 }
 
 // weigh weighs the endpoints of a service for one request. It has no effects: it sends nothing, draws no random number and
@@ -58,7 +62,7 @@
 // Down endpoints that might have been chosen are to be probed: those with a higher rendezvous weight, or all of them for a
 // request without an affinity.
 func (s *State) weigh(now boottime.Instant, req PlacementRequest, in placementInputs) weighing {
-	w := weighing{endpointClasses: s.classify(now, req, in)}
+	w := weighing{endpointClasses: s.classify(now, req, in), backlog: in.backlog, cost: s.costs.Estimate(req.Cost)}
 	switch {
 	case w.eligibleCount == 0:
 		w.markProbes(0)
@@ -154,7 +158,7 @@
 			x.unreported = s.unreportedLoad(now, x.endpoint)
 			load := float64(x.load + x.unreported)
 			if uneven {
-				load = s.workload(now, x)
+				load = w.workload(now, x)
 			}
 			loads = append(loads, load)
 		}
--- a/internal/control/classify.go
+++ b/internal/control/classify.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/dandelionvane/dandelionvane/internal/backlog"
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/cost"
 	"github.com/dandelionvane/dandelionvane/internal/origin"
@@ -121,11 +122,12 @@
 type placementInputs struct {
 	peerCounts  map[uint32]int // requests of all live peers, by the endpoint's short ID
 	soleVersion origin.Version // of the service, for a request that needs a version; see State.soleVersion
+	backlog     *backlog.Tracker
 }
 
 // inputs returns the inputs of a placement.
 func (s *State) inputs(now boottime.Instant, req PlacementRequest) placementInputs {
-	var in placementInputs
+	in := placementInputs{backlog: s.backlog.tracker}
 	if len(s.services[req.Service]) > 0 {
 		in.peerCounts = s.peerCounts(now)
 	}
--- a/internal/control/contention.go
+++ b/internal/control/contention.go
@@ -170,25 +170,32 @@
 // stream that has begun is admitted: most of its work is done.
 func (s *State) admitUnderContention(now boottime.Instant, req *AdmissionRequest, ad *Admission) contention.Decision {
 	l := s.serviceLoadOf(ad.Service)
+	s.noteTimeLimit(now, ad.Route, req.CallerTimeout)
+	r := contentionRequest(ad, s.table.Workspace(req.APIKey), req.CallerTimeout, s.usualTimeLimit(now, ad.Route, req.CallerTimeout))
+	d := l.contention.Admit(now, r)
+	if req.Resumed {
+		d.Admitted = true
+	}
+	return d
+}
+
+// contentionRequest returns what the decision under contention depends on. The workspace is nil if there is none.
+func contentionRequest(ad *Admission, w *routing.Workspace, callerTimeout, usualTimeLimit time.Duration) contention.Request {
 	r := contention.Request{
 		RoutePriority:  ad.Route.Priority,
 		TimeLeft:       ad.Timeout,
-		UsualTimeLimit: s.usualTimeLimit(now, ad.Route, req.CallerTimeout),
+		UsualTimeLimit: usualTimeLimit,
 		Goal:           ad.Route.GoalLatency,
 		PauseGoal:      ad.Route.GoalEventGap,
+		Workspace:      shortWorkspaceID(ad.Workspace),
 	}
-	if req.CallerTimeout > 0 {
-		r.TimeLeft = req.CallerTimeout
+	if callerTimeout > 0 {
+		r.TimeLeft = callerTimeout
 	}
-	r.Workspace = shortWorkspaceID(ad.Workspace)
-	if w := s.table.Workspace(req.APIKey); w != nil && w.HasPriority {
+	if w != nil && w.HasPriority {
 		r.WorkspacePriority, r.HasWorkspacePriority = w.Priority, true
 	}
-	d := l.contention.Admit(now, r)
-	if req.Resumed {
-		d.Admitted = true
-	}
-	return d
+	return r
 }
 
 const (
@@ -204,9 +211,8 @@
 	periodStart       boottime.Instant
 }
 
-// usualTimeLimit records the time limit of a caller's request and returns the usual one of its route: the longest of the
-// last seconds. A caller that returns after a refusal gives the time that it has left.
-func (s *State) usualTimeLimit(now boottime.Instant, r *routing.Route, limit time.Duration) time.Duration {
+// noteTimeLimit records the time limit of a caller's request.
+func (s *State) noteTimeLimit(now boottime.Instant, r *routing.Route, limit time.Duration) {
 	l := s.timeLimits[r.Name]
 	if l == nil {
 		if len(s.timeLimits) >= maxTimeLimits {
@@ -219,5 +225,18 @@
 		l.previous, l.current, l.periodStart = l.current, 0, now
 	}
 	l.current = max(l.current, limit)
-	return max(l.current, l.previous)
+}
+
+// usualTimeLimit returns the usual time limit of a route's callers with one more request: the longest of the last seconds. A
+// caller that returns after a refusal gives the time that it has left. It has no effects.
+func (s *State) usualTimeLimit(now boottime.Instant, r *routing.Route, limit time.Duration) time.Duration {
+	l := s.timeLimits[r.Name]
+	switch {
+	case l == nil:
+		return limit
+	case now.Sub(l.periodStart) >= timeLimitPeriod:
+		return max(limit, l.current)
+	default:
+		return max(limit, l.current, l.previous)
+	}
 }
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -18,10 +18,10 @@
 	Workspace     fleet.WorkspaceID // "": the check of the key is left out
 	CallerTimeout time.Duration     // 0: not given
 
-	// What the caller says of the request's size; 0: not given. No decision depends on it yet.
+	// What the caller says of the request's size; 0: not given.
 	PromptTokens, SharedTokens, MaxOutputTokens, LengthHint int
 
-	// Placement is the request to place. If its Service is set, it is the one that is explained, of a route that has several;
+	// Placement is the request to place; its Workspace, Cost and Goal are set by Explain. If its Service is set, it is the one that is explained, of a route that has several;
 	// a service that the route does not have gives ReasonNoRoute.
 	Placement PlacementRequest
 }
@@ -40,7 +40,8 @@
 	if reason == ReasonNone {
 		x.Route, x.Kind = ad.Route.Name, ad.Route.Kind.String()
 		reason = s.authorizeByID(now, req.Workspace, &ad)
-		x.Workspace, x.Priority, x.TimeLimitMS = ad.Workspace, ad.Priority, requestTimeout(ad.Route, req.CallerTimeout).Milliseconds()
+		ad.Timeout = requestTimeout(ad.Route, req.CallerTimeout)
+		x.Workspace, x.Priority, x.TimeLimitMS = ad.Workspace, ad.Priority, ad.Timeout.Milliseconds()
 	}
 	if reason != ReasonNone {
 		x.Decision = rejected(Placement{Reason: reason, RetryAfter: admissionRetryAfter})
@@ -52,8 +53,13 @@
 		return x
 	}
 	p.Service, x.Services = explainService(ad.Route, p)
-	x.Service = p.Service
+	x.Service, ad.Service = p.Service, p.Service
+	p.Workspace, p.Cost, p.Goal = ad.Workspace, req.cost(ad.Route.Name, p.Service), ad.Goal()
+	refused := s.explainContention(now, &req, &ad, &x)
 	s.explainPlacement(now, p, &x)
+	if refused.Reason != ReasonNone {
+		x.Decision = rejected(refused)
+	}
 	return x
 }
 
@@ -121,7 +127,7 @@
 		return
 	}
 	req, denied := s.peekDecision(now, req)
-	in := placementInputs{peerCounts: s.peekPeerCounts(now)}
+	in := placementInputs{peerCounts: s.peekPeerCounts(now), backlog: s.peekBacklog(now)}
 	if req.Version != 0 {
 		in.soleVersion = s.peekSoleVersion(now, req.Service)
 	}
@@ -158,6 +164,7 @@
 	if req.Affinity != 0 {
 		ranks = rendezvousRanks(req.Affinity, w.candidates)
 	}
+	uneven := s.uneven(now, req.Service)
 	for _, c := range w.bestFirst(ranks) {
 		e := s.explainEndpoint(now, c, in)
 		e.Position = len(x.Endpoints) + 1
@@ -168,6 +175,9 @@
 			share := c.share / w.totalShare()
 			e.Share = &share
 		}
+		if uneven {
+			e.Times = s.explainTimes(now, &req, w, c, ranks[c.endpoint])
+		}
 		x.Endpoints = append(x.Endpoints, e)
 	}
 }
--- a/internal/control/explain_test.go
+++ b/internal/control/explain_test.go
@@ -18,17 +18,28 @@
 )
 
 func explainChat(req PlacementRequest) ExplainRequest {
-	return ExplainRequest{Host: "h", Path: "/chat/x", Workspace: "w", Placement: req}
+	return ExplainRequest{
+		Host: "h", Path: "/chat/x", Workspace: "w", Placement: req,
+		PromptTokens: req.Cost.PromptTokens, SharedTokens: req.Cost.SharedTokens, MaxOutputTokens: req.Cost.MaxOutputTokens, LengthHint: req.Cost.LengthHint,
+	}
 }
 
 // TestExplainAgreesWithPlace guards against an explanation that names another endpoint, rejection or probability than the
 // placement of the same request in the same state.
 func TestExplainAgreesWithPlace(t *testing.T) {
+	checkExplainAgreesWithPlace(t, randomPlacement)
+}
+
+// checkExplainAgreesWithPlace compares explanations with placements in random states. It returns the explanations.
+func checkExplainAgreesWithPlace(t *testing.T, generate func(seed uint64) (*State, boottime.Instant, PlacementRequest)) (explained []Explanation) {
+	t.Helper()
 	random := 0
 	for seed := range uint64(randomPlacements) {
-		s, now, req := randomPlacement(seed)
+		s, now, req := generate(seed)
 		x := s.Explain(now, explainChat(req))
-		number := rngOf(t, seed)
+		explained = append(explained, x)
+		other, _, _ := generate(seed)
+		number := other.rng.Float64()
 		p := s.Place(now, req)
 		if p.Reason != ReasonNone {
 			d := time.Duration(x.Decision.RetryAfterMS) * time.Millisecond
@@ -49,13 +60,7 @@
 	if random < randomPlacements/50 {
 		t.Errorf("only %d random choices", random)
 	}
-}
-
-// rngOf returns the first random number that is drawn in the state of a seed.
-func rngOf(t *testing.T, seed uint64) float64 {
-	t.Helper()
-	s, _, _ := randomPlacement(seed)
-	return s.rng.Float64()
+	return explained
 }
 
 // drawn returns the endpoint that a random number draws from the shares of an explanation.
@@ -72,9 +77,14 @@
 
 // TestExplainChangesNothing guards against effects of an explanation: probes, random numbers, counters, caches and actions.
 func TestExplainChangesNothing(t *testing.T) {
+	checkExplainChangesNothing(t, randomPlacement)
+}
+
+func checkExplainChangesNothing(t *testing.T, generate func(seed uint64) (*State, boottime.Instant, PlacementRequest)) {
+	t.Helper()
 	for seed := range uint64(600) {
-		s, now, req := randomPlacement(seed)
-		untouched, _, _ := randomPlacement(seed)
+		s, now, req := generate(seed)
+		untouched, _, _ := generate(seed)
 		if !reflect.DeepEqual(s, untouched) {
 			t.Fatalf("seed %d: two equal states differ, so that the test shows nothing", seed)
 		}
--- a/internal/control/explanation.go
+++ b/internal/control/explanation.go
@@ -56,9 +56,9 @@
 
 // WorkspaceShare is a workspace's share of a contended service.
 type WorkspaceShare struct {
-	Running int     `json:"running"` // requests of the fleet
-	Share   float64 `json:"share"`   // requests that it may run while others compete
-	AgeMS   int64   `json:"age_ms"`
+	Running *int    `json:"running,omitempty"` // requests of the fleet; nil: it is not one of the workspaces with the most
+	Share   float64 `json:"share"`             // part of its requests that is within its share, at the priority that is partly admitted
+	AgeMS   int64   `json:"age_ms"`            // of the counts of running requests
 }
 
 // ContentionDecision is the decision whether a request of a contended service is admitted.
@@ -67,19 +67,23 @@
 	Utilization   float64 `json:"utilization"`
 	Target        float64 `json:"target"`
 	AdmittedShare float64 `json:"admitted_share"`
-	Rank          int     `json:"rank"` // in the order in which requests are admitted, 0 is the first
-	Admitted      bool    `json:"admitted"`
-	Reason        string  `json:"reason,omitempty"` // of a rejection
+	Rank          int     `json:"rank"`                     // among 1,000 requests in the order in which they are admitted, 0 is the first
+	Probability   float64 `json:"probability"`              // of admission
+	Reason        string  `json:"reason,omitempty"`         // of the likeliest rejection
+	RetryAfterMS  int64   `json:"retry_after_ms,omitempty"` // mean, of a rejection
 }
 
 // EstimatedTimes is the estimated time to a request's first event at an endpoint, with its parts.
 type EstimatedTimes struct {
-	TotalMS      float64 `json:"total_ms"`
-	WaitMS       float64 `json:"wait_ms"`
-	ReadMS       float64 `json:"read_ms"` // at the endpoint's present speed
-	DistanceMS   float64 `json:"distance_ms"`
-	SpeedPercent int     `json:"speed_percent"` // how long work takes, relative to the usual 100
-	SpeedAgeMS   int64   `json:"speed_age_ms"`
+	TotalMS       float64 `json:"total_ms"`
+	WaitMS        float64 `json:"wait_ms"`
+	ReadMS        float64 `json:"read_ms"` // at the endpoint's present speed
+	DistanceMS    float64 `json:"distance_ms"`
+	PendingReadMS float64 `json:"pending_read_ms"`        // prefill time outstanding there, at the usual speed
+	SpeedPercent  int     `json:"speed_percent"`          // how long work takes, relative to the usual 100, as last reported
+	SpeedAgeMS    *int64  `json:"speed_age_ms,omitempty"` // nil: there is no recent report
+	Compared      bool    `json:"compared"`               // the choice was made by these times
+	Learned       bool    `json:"learned"`                // from observations; otherwise the choice does not use them
 }
 
 // ReportedLoad is the load that an endpoint has reported itself.
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -118,6 +118,7 @@
 	e.coldStart.recordSend(now)
 	s.peerLoads.statusVersion++
 	attempt := s.newAttempt(now, req, e, &w.endpointClasses)
+	attempt.Estimate = w.estimateAt(e)
 	s.noteSuspicion(now, attempt)
 	s.crashes.detector.TraitsSent(now, req.Shares)
 	attempt.CacheSourceAddr = s.cacheSource(now, req.Affinity, e)
--- a/internal/ingress/placement.go
+++ b/internal/ingress/placement.go
@@ -116,7 +116,7 @@
 func (c *call) placementRequest(begun bool) control.PlacementRequest {
 	req := control.PlacementRequest{Service: c.admission.Service, Affinity: c.affinityKey, Tried: c.triedEndpoints, Version: c.origin.version, Request: c.fingerprint, Shares: c.shares}
 	req.Workspace = c.admission.Workspace
-	req.Cost, req.Goal = c.cost(), cost.Goal{Latency: c.admission.Route.GoalLatency, EventGap: c.admission.Route.GoalEventGap, Priority: c.admission.Priority}
+	req.Cost, req.Goal = c.cost(), c.admission.Goal()
 	if begun {
 		req.Stream = c.origin.stream
 	}
