control, gateway: speeds, outstanding prefills and contention in the dump, the metrics and the log

Cause: operators could not see why prompts avoid an endpoint, nor how contended a service is and what is refused. Change: the dump has the speed and the outstanding prefill time of endpoints, the contention of services and what the cost model has learned; gauges and a counter of refusals by rule show the same. attempt_placed says the estimated cost and the estimated times at the chosen endpoint and the runner-up. The refusal's line names the service, and the trace of a request names the rule and the contention that it met. A speed gauge returns to 100 when there are no more reports, since gauges keep their last value.

--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/cost"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/mesh"
 	"github.com/dandelionvane/dandelionvane/internal/published"
@@ -25,6 +26,7 @@
 	CrashesDump
 	Services  []ServiceDump  `json:"services"`
 	Endpoints []EndpointDump `json:"endpoints"`
+	Costs     cost.Snapshot  `json:"costs"` // of requests, as learned
 }
 
 // OriginsDump is the state of the records of where streams began.
@@ -43,13 +45,15 @@
 	Era           uint64         `json:"era"`         // how many times the store has returned with an older copy; upper bits of the revision
 }
 
-// ServiceDump is the state of a service's retry budget in this process.
+// ServiceDump is the state of a service's retry budget and load in this process.
 type ServiceDump struct {
 	Service          fleet.ServiceID `json:"service"`
 	Requests         int             `json:"requests_in_window"`
 	Retries          int             `json:"retries_in_window"`
 	Allowed          float64         `json:"retries_allowed"`
 	RetrySuccessRate float64         `json:"retries_that_help"` // moving average, of retries after endpoints' own failures
+	Uneven           bool            `json:"uneven"`            // its endpoints report speeds: prompts are placed by estimated time
+	Contention       *ContentionDump `json:"contention,omitempty"`
 }
 
 // EndpointDump is the state of one endpoint as seen by this process.
@@ -69,6 +73,9 @@
 	InFlight        int                `json:"in_flight"`
 	Load            int                `json:"load"` // estimated requests of the whole fleet
 	FailureRate     float64            `json:"failure_rate"`
+
+	Speed            *SpeedDump `json:"speed,omitempty"`
+	PendingPrefillMS *float64   `json:"pending_prefill_ms,omitempty"` // at the usual speed, of the fleet's attempts; nil: its service has not reported speeds
 }
 
 // Dump returns a snapshot of the state.
@@ -87,6 +94,7 @@
 		LivePeers: s.mesh.LivePeers(now),
 
 		Aggregators: s.mesh.LocalAggregators(),
+		Costs:       s.costs.Snapshot(),
 		Origins:     OriginsDump{Records: s.origins.table.Len(), Dropped: s.origins.table.Dropped()},
 		CrashesDump: s.DumpCrashes(now),
 	}
@@ -99,13 +107,7 @@
 		}
 	}
 	slices.Sort(d.Evacuated)
-	for id, w := range s.retryWindows {
-		requests, retries := w.Counts(now)
-		d.Services = append(d.Services, ServiceDump{
-			Service: id, Requests: requests, Retries: retries, Allowed: s.retriesAllowed(requests), RetrySuccessRate: s.retrySuccessRate(id),
-		})
-	}
-	slices.SortFunc(d.Services, func(a, b ServiceDump) int { return strings.Compare(string(a.Service), string(b.Service)) })
+	d.Services = s.dumpServices(now)
 	for _, e := range s.endpoints {
 		d.Endpoints = append(d.Endpoints, s.dumpEndpoint(now, e))
 	}
@@ -114,11 +116,13 @@
 }
 
 func (s *State) dumpEndpoint(now boottime.Instant, e *endpoint) EndpointDump {
-	return EndpointDump{
+	d := EndpointDump{
 		ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, Addr: e.Addr,
 		Usable: s.usable(now, e), Leaving: e.Leaving || e.announcedLeaving, Version: string(e.Version), Paused: now.Before(e.noRequestsUntil), AddrReused: e.addrReused, Down: e.health.down,
 		Avoided:         now.Before(e.health.avoidUntil),
 		ColdRemainingMS: max(e.coldStart.until.Sub(now), 0*time.Millisecond).Milliseconds(),
 		InFlight:        e.inFlight, Load: s.load(now, e), FailureRate: e.health.failureRate,
 	}
+	d.Speed, d.PendingPrefillMS = s.dumpBacklog(now, e)
+	return d
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,8 @@
 	listenerErrs chan error
 
 	peerHTTPClient *http.Client // for the control addresses of peers
+
+	speedGauges map[fleet.EndpointID]bool // endpoints whose speed the gauges have shown; used by reportGauges only
 }
 
 // Run runs a gateway. When ctx is cancelled, it performs a planned stop and returns.
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -7,9 +7,11 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/dandelionvane/dandelionvane/internal/backlog"
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/fault"
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/wire"
 )
 
@@ -50,6 +52,11 @@
 		t := s.Tagged(map[string]string{"service": string(v.Service)})
 		t.Gauge("retries_in_window").Update(float64(v.Retries))
 		t.Gauge("retry_budget_left").Update(v.Allowed - float64(v.Retries))
+		if c := v.Contention; c != nil {
+			t.Gauge("service_utilization").Update(c.Utilization)
+			t.Gauge("service_admitted_share").Update(c.AdmittedShare)
+			t.Gauge("service_contended").Update(boolGauge(c.Contended))
+		}
 	}
 	for _, e := range dump.Endpoints {
 		t := s.Tagged(map[string]string{"endpoint": string(e.ID)})
@@ -57,6 +64,7 @@
 		t.Gauge("endpoint_in_flight").Update(float64(e.InFlight))
 		t.Gauge("endpoint_usable").Update(boolGauge(e.Usable && !e.Down && !e.Avoided))
 	}
+	p.reportSpeeds(dump.Endpoints)
 	peerStats := p.peers.Stats()
 	s.Gauge("gossip_bytes_sent").Update(float64(peerStats.BytesOut))
 	s.Gauge("gossip_packets_sent").Update(float64(peerStats.PacketsOut))
@@ -64,6 +72,30 @@
 	s.Gauge("panics_contained").Update(float64(fault.Contained()))
 }
 
+// reportSpeeds sets the gauges of the endpoints whose speed or outstanding prefill time is known. A gauge keeps its last value,
+// so those of endpoints that no longer report are set to the usual speed and to none.
+func (p *process) reportSpeeds(endpoints []control.EndpointDump) {
+	shown := map[fleet.EndpointID]bool{}
+	for i := range endpoints {
+		e := &endpoints[i]
+		if e.PendingPrefillMS == nil && !p.speedGauges[e.ID] {
+			continue
+		}
+		shown[e.ID] = true
+		percent, pending := backlog.UsualPercent, 0.0
+		if e.Speed != nil {
+			percent = e.Speed.Percent
+		}
+		if e.PendingPrefillMS != nil {
+			pending = *e.PendingPrefillMS
+		}
+		t := p.scope().Tagged(map[string]string{"endpoint": string(e.ID)})
+		t.Gauge("endpoint_speed").Update(float64(percent))
+		t.Gauge("endpoint_pending_prefill_ms").Update(pending)
+	}
+	p.speedGauges = shown
+}
+
 // estimateErrorBuckets bound the relative errors of estimates; the target for the median is a quarter.
 var estimateErrorBuckets = tally.ValueBuckets{0.05, 0.1, 0.25, 0.5, 1, 2, 5}
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -14,12 +14,26 @@
 	"github.com/dandelionvane/dandelionvane/internal/upstream"
 )
 
+// logPlaced logs an attempt with the inputs of its placement.
+func (c *call) logPlaced(placed *control.Attempt) {
+	fields := []any{"request", c.meta.ID, "fingerprint", c.fingerprint, "endpoint", placed.Endpoint, "version", placed.Version, "addr", placed.Addr,
+		"load", placed.Load, "mean", placed.MeanLoad, "of", placed.EligibleCount, "fetch_at", placed.CacheSourceAddr,
+		"read_ms", control.Milliseconds(placed.Estimate.Read), "hold_ms", control.Milliseconds(placed.Estimate.Hold)}
+	if e := &placed.Estimate; e.FirstEvent != 0 {
+		fields = append(fields, "first_event_ms", control.Milliseconds(e.FirstEvent))
+		if e.RunnerUp != "" {
+			fields = append(fields, "runner_up", e.RunnerUp, "runner_up_ms", control.Milliseconds(e.RunnerUpAt))
+		}
+	}
+	event.LogFields(event.AttemptPlaced, fields...)
+}
+
 // runAttempt sends the request to one endpoint and forwards the response. The attempt ends in the control state in any
 // case: after a panic as cancelled, because a fault of this program says nothing about the endpoint.
 func (c *call) runAttempt(ctx context.Context, placed *control.Attempt) (d delivery) {
 	a := &attempt{call: c, placed: placed, startedAt: time.Now()}
 	c.triedEndpoints = append(c.triedEndpoints, placed.Endpoint)
-	event.LogFields(event.AttemptPlaced, "request", c.meta.ID, "fingerprint", c.fingerprint, "endpoint", placed.Endpoint, "version", placed.Version, "addr", placed.Addr, "load", placed.Load, "mean", placed.MeanLoad, "of", placed.EligibleCount, "fetch_at", placed.CacheSourceAddr)
+	c.logPlaced(placed)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	panicked := true
--- a/internal/ingress/meter.go
+++ b/internal/ingress/meter.go
@@ -26,6 +26,11 @@
 	s.Histogram("request_seconds", latencyBuckets).RecordDuration(time.Since(c.arrivedAt))
 }
 
+// refusedByContention counts a request that was refused because its service is contended, by the deciding rule.
+func (m *Meter) refusedByContention(c *call) {
+	m.scope.Tagged(map[string]string{"service": string(c.admission.Service), "reason": c.admission.Contention.String()}).Counter("contention_refusals").Inc(1)
+}
+
 // streamStarted records the time until the head of a stream is sent: with the first event, or at
 // the end of a resumed stream without further events.
 func (m *Meter) streamStarted(c *call) {
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -43,7 +43,8 @@
 	fields := []any{"request", c.meta.ID, "reason", reason, "retry_after_ms", after.Milliseconds(), "sends", c.attempts.count,
 		"elapsed_ms", c.elapsed(), "revision", c.admission.Revision, "age_ms", c.admission.SnapshotAge.Milliseconds()}
 	if reason == control.ReasonContention {
-		fields = append(fields, "contention", c.admission.Contention, "route", c.admission.Route.Name, "workspace", c.admission.Workspace, "urgency", c.admission.Priority)
+		c.s.meter.refusedByContention(c)
+		fields = append(fields, "contention", c.admission.Contention, "service", c.admission.Service, "route", c.admission.Route.Name, "workspace", c.admission.Workspace, "urgency", c.admission.Priority)
 	}
 	if reason == control.ReasonOnTrial {
 		fields = append(fields, "fingerprint", c.fingerprint)
--- a/internal/trace/cause.go
+++ b/internal/trace/cause.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"time"
 
+	"github.com/dandelionvane/dandelionvane/internal/contention"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/event"
 )
@@ -55,6 +57,8 @@
 		return "the process had just started and had no configuration yet" + retryText
 	case control.ReasonOnTrial.String():
 		return t.onTrialCause() + retryText
+	case control.ReasonContention.String():
+		return t.contentionCause() + retryText
 	case control.ReasonNoEndpoint.String():
 		return "no endpoint of the service could accept it; " + t.describeLastAttempt() + retryText
 	default:
@@ -62,6 +66,38 @@
 	}
 }
 
+// contentionCause describes why a request was refused while its service was contended.
+func (t *Trace) contentionCause() string {
+	end := t.lastLine()
+	cause := fmt.Sprintf("refused under contention (%s), workspace %s, route %s, priority %s", end.Get("contention"), end.Get("workspace"), end.Get("route"), end.Get("urgency"))
+	switch end.Get("contention") {
+	case contention.ReasonShare.String():
+		cause += ": its workspace had more requests than its share"
+	case contention.ReasonOrder.String():
+		cause += ": more urgent requests took the room"
+	case contention.ReasonDeadline.String():
+		cause += ": it would have started after its deadline, or after its caller's patience"
+	}
+	if l := t.lastContentionLine(end.Get("service"), end.Time); l != nil {
+		cause += fmt.Sprintf("; service %s had been contended since (utilization %s, target %s)", l.Get("service"), l.Get("utilization"), l.Get("target"))
+	}
+	return cause
+}
+
+// lastContentionLine returns the last line up to a time that says that contention of a service began, or nil if there is none or
+// it has ended since.
+func (t *Trace) lastContentionLine(service string, until time.Duration) *Line {
+	for i := len(t.ProcessLines) - 1; i >= 0; i-- {
+		if l := &t.ProcessLines[i]; l.Time <= until && l.Event == event.ContentionChanged && l.Get("service") == service {
+			if l.Get("contended") == "true" {
+				return l
+			}
+			return nil
+		}
+	}
+	return nil
+}
+
 func (t *Trace) unknownCause() string {
 	end := t.lastLine()
 	cause := "it may have run, and its outcome is unknown"
