--- a/internal/trace/cause.go
+++ b/internal/trace/cause.go
@@ -74,7 +74,7 @@
 	case contention.ReasonShare.String():
 		cause += ": its workspace had more requests than its share"
 	case contention.ReasonOrder.String():
-		cause += ": more urgent requests took the room"
+		cause += ": there was no room for all requests at its place in the order"
 	case contention.ReasonDeadline.String():
 		cause += ": it would have started after its deadline, or after its caller's patience"
 	}
