--- a/internal/control/contention.go
+++ b/internal/control/contention.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -156,10 +157,13 @@
 		return
 	}
 	l.contended = st.Contended
-	s.log(event.ContentionChanged, "service", service, "contended", st.Contended, "utilization", st.Utilization, "target", st.Target,
-		"demand", st.Demand, "hold_ms", s.costs.ServiceTime(service).Milliseconds(), "queue_limit", l.queueLimit)
+	s.log(event.ContentionChanged, "service", service, "contended", st.Contended, "utilization", hundredths(st.Utilization),
+		"target", hundredths(st.Target), "demand", hundredths(st.Demand), "hold_ms", s.costs.ServiceTime(service).Milliseconds(), "queue_limit", hundredths(l.queueLimit))
 }
 
+// hundredths rounds a number for a log line.
+func hundredths(x float64) float64 { return math.Round(x*100) / 100 }
+
 // contended reports whether a service has more requests than its endpoints can start within the latency goals.
 func (s *State) contended(service fleet.ServiceID) bool {
 	l := s.serviceLoads[service]
