--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -21,8 +21,8 @@
 	// What the caller says of the request's size; 0: not given.
 	PromptTokens, SharedTokens, MaxOutputTokens, LengthHint int
 
-	// Placement is the request to place; its Workspace, Cost and Goal are set by Explain. If its Service is set, it is the one that is explained, of a route that has several;
-	// a service that the route does not have gives ReasonNoRoute.
+	// Placement is the request to place; Explain sets its Workspace, Cost and Goal. If its Service is set, it is the one that is
+	// explained, of a route that has several; a service that the route does not have gives ReasonNoRoute.
 	Placement PlacementRequest
 }
 
