--- a/internal/control/contention.go
+++ b/internal/control/contention.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -156,10 +157,13 @@
 		return
 	}
 	l.contended = st.Contended
-	s.log(event.ContentionChanged, "service", service, "contended", st.Contended, "utilization", st.Utilization, "target", st.Target,
-		"demand", st.Demand, "hold_ms", s.costs.ServiceTime(service).Milliseconds(), "queue_limit", l.queueLimit)
+	s.log(event.ContentionChanged, "service", service, "contended", st.Contended, "utilization", hundredths(st.Utilization),
+		"target", hundredths(st.Target), "demand", hundredths(st.Demand), "hold_ms", s.costs.ServiceTime(service).Milliseconds(), "queue_limit", hundredths(l.queueLimit))
 }
 
+// hundredths rounds a number for a log line.
+func hundredths(x float64) float64 { return math.Round(x*100) / 100 }
+
 // contended reports whether a service has more requests than its endpoints can start within the latency goals.
 func (s *State) contended(service fleet.ServiceID) bool {
 	l := s.serviceLoads[service]
@@ -170,25 +174,32 @@
 // stream that has begun is admitted: most of its work is done.
 func (s *State) admitUnderContention(now boottime.Instant, req *AdmissionRequest, ad *Admission) contention.Decision {
 	l := s.serviceLoadOf(ad.Service)
+	s.noteTimeLimit(now, ad.Route, req.CallerTimeout)
+	r := contentionRequest(ad, s.table.Workspace(req.APIKey), req.CallerTimeout, s.usualTimeLimit(now, ad.Route, req.CallerTimeout))
+	d := l.contention.Admit(now, r)
+	if req.Resumed {
+		d.Admitted = true
+	}
+	return d
+}
+
+// contentionRequest returns what the decision under contention depends on. The workspace is nil if there is none.
+func contentionRequest(ad *Admission, w *routing.Workspace, callerTimeout, usualTimeLimit time.Duration) contention.Request {
 	r := contention.Request{
 		RoutePriority:  ad.Route.Priority,
 		TimeLeft:       ad.Timeout,
-		UsualTimeLimit: s.usualTimeLimit(now, ad.Route, req.CallerTimeout),
+		UsualTimeLimit: usualTimeLimit,
 		Goal:           ad.Route.GoalLatency,
 		PauseGoal:      ad.Route.GoalEventGap,
+		Workspace:      shortWorkspaceID(ad.Workspace),
 	}
-	if req.CallerTimeout > 0 {
-		r.TimeLeft = req.CallerTimeout
+	if callerTimeout > 0 {
+		r.TimeLeft = callerTimeout
 	}
-	r.Workspace = shortWorkspaceID(ad.Workspace)
-	if w := s.table.Workspace(req.APIKey); w != nil && w.HasPriority {
+	if w != nil && w.HasPriority {
 		r.WorkspacePriority, r.HasWorkspacePriority = w.Priority, true
 	}
-	d := l.contention.Admit(now, r)
-	if req.Resumed {
-		d.Admitted = true
-	}
-	return d
+	return r
 }
 
 const (
@@ -204,9 +215,8 @@
 	periodStart       boottime.Instant
 }
 
-// usualTimeLimit records the time limit of a caller's request and returns the usual one of its route: the longest of the
-// last seconds. A caller that returns after a refusal gives the time that it has left.
-func (s *State) usualTimeLimit(now boottime.Instant, r *routing.Route, limit time.Duration) time.Duration {
+// noteTimeLimit records the time limit of a caller's request.
+func (s *State) noteTimeLimit(now boottime.Instant, r *routing.Route, limit time.Duration) {
 	l := s.timeLimits[r.Name]
 	if l == nil {
 		if len(s.timeLimits) >= maxTimeLimits {
@@ -219,5 +229,18 @@
 		l.previous, l.current, l.periodStart = l.current, 0, now
 	}
 	l.current = max(l.current, limit)
-	return max(l.current, l.previous)
+}
+
+// usualTimeLimit returns the usual time limit of a route's callers with one more request: the longest of the last seconds. A
+// caller that returns after a refusal gives the time that it has left. It has no effects.
+func (s *State) usualTimeLimit(now boottime.Instant, r *routing.Route, limit time.Duration) time.Duration {
+	l := s.timeLimits[r.Name]
+	switch {
+	case l == nil:
+		return limit
+	case now.Sub(l.periodStart) >= timeLimitPeriod:
+		return max(limit, l.current)
+	default:
+		return max(limit, l.current, l.previous)
+	}
 }
