callerconn: count what is read with one lock and one look at the clock

Change: the bytes of a head or body are counted where the read ends, under the lock that is held there, and an aborted read does not ask for the time.

The package's tests pass under the race detector.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -105,8 +105,8 @@
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.aborted() {
 			n, err = c.readArrived(p, err)
 		}
-		done, why := c.endRead(n, err)
-		if n > 0 && !c.takeIn(p[:n]) {
+		done, why, unpaid := c.endRead(p[:max(n, 0)], err)
+		if unpaid > 0 && !c.makeRoom(unpaid) {
 			why = Memory
 		}
 		if why != 0 {
@@ -173,8 +173,9 @@
 }
 
 // endRead updates the state after a read. It returns false if the read was only interrupted, by a sweep or a deadline that
-// no longer holds, and the connection is kept, and the reason for which the connection must be closed, or 0.
-func (c *Conn) endRead(n int, err error) (done bool, closeFor Reason) {
+// no longer holds, and the connection is kept; the reason for which the connection must be closed, or 0; and the cost of what was
+// read if the memory budget has no room for it, otherwise 0.
+func (c *Conn) endRead(read []byte, err error) (done bool, closeFor Reason, unpaid int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
@@ -183,33 +184,42 @@
 	if why != 0 {
 		_ = c.applyDeadline() // fails only if the connection is closed
 	}
-	if n > 0 {
-		c.received()
-		return true, 0
+	if len(read) > 0 {
+		return true, 0, c.received(read)
 	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		return true, 0
+	if why == 0 && c.deadline.Before(c.accepted) && !c.deadline.IsZero() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return true, 0, 0
 	}
 	now := time.Now()
 	if why != 0 && Decide(c.state(), why, c.limit, now) == Close {
-		return true, why
+		return true, why, 0
 	}
 	if !c.deadline.IsZero() && !now.Before(c.deadline) {
-		return true, 0
+		return true, 0, 0
 	}
-	return false, c.lateness(now)
+	return false, c.lateness(now), 0
 }
 
-// received updates the phase after bytes were read.
-func (c *Conn) received() {
+// received updates the state after bytes were read. It returns their cost if the memory budget has no room for it, otherwise 0.
+func (c *Conn) received(read []byte) (unpaid int64) {
+	if c.phase == InFlight && !c.incoming.head && !c.incoming.body {
+		c.incoming.early = c.incoming.watch
+		return 0
+	}
+	now := time.Now()
 	switch c.phase {
 	case Fresh:
-		c.setPhase(InFlight)
+		c.phase, c.since = InFlight, now
 	case Waiting:
-		c.setPhase(Started)
+		c.phase, c.since = Started, now
 	case InFlight:
 		c.incoming.early = c.incoming.watch
 	}
+	cost := c.incoming.count(read, now)
+	if c.charge(cost) {
+		return 0
+	}
+	return cost
 }
 
 func (c *Conn) state() State {
--- a/internal/callerconn/incoming.go
+++ b/internal/callerconn/incoming.go
@@ -49,51 +49,19 @@
 	}
 }
 
-// takeIn counts bytes that were read of a head or a body. It returns false if the budget has no room for them, also after other
-// connections were asked to close.
-func (c *Conn) takeIn(read []byte) bool {
-	cost, ok := c.count(read)
-	if ok || cost == 0 {
-		return true
-	}
-	for range maxEvictions {
-		if !c.listener.evict(Memory) {
-			return c.charge(cost)
-		}
-		c.listener.awaitRoom()
-		if c.charge(cost) {
-			return true
-		}
+// count counts bytes of a head or a body that were read at a time, and returns their cost.
+func (i *incoming) count(read []byte, now time.Time) int64 {
+	i.progress = now
+	if !i.head {
+		return int64(len(read))
 	}
-	return false
+	i.begin(now)
+	i.bytes += len(read)
+	return int64(costPerHeadByte*len(read) + costPerHeadField*bytes.Count(read, newline))
 }
 
-// count counts bytes of a head or a body, and returns their cost and whether the budget has room for it.
-func (c *Conn) count(read []byte) (cost int64, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	in := &c.incoming
-	if !in.head && !in.body {
-		return 0, true
-	}
-	in.progress = time.Now()
-	cost = int64(len(read))
-	if in.head {
-		in.begin(in.progress)
-		in.bytes += len(read)
-		cost = costPerHeadByte*cost + costPerHeadField*int64(bytes.Count(read, newline))
-	}
-	return cost, c.chargeLocked(cost)
-}
-
-// charge charges a cost unless the budget has no room for it.
+// charge charges a cost unless the budget has no room for it. c.mu must be held.
 func (c *Conn) charge(cost int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.chargeLocked(cost)
-}
-
-func (c *Conn) chargeLocked(cost int64) bool {
 	b := c.listener.memory
 	switch {
 	case b == nil || c.closing:
@@ -108,6 +76,30 @@
 	return true
 }
 
+// makeRoom charges a cost for which the budget had no room. It returns false if it still has none after other connections were asked
+// to close.
+func (c *Conn) makeRoom(cost int64) bool {
+	for range maxEvictions {
+		evicted := c.listener.evict(Memory)
+		if evicted {
+			c.listener.awaitRoom()
+		}
+		if c.chargeLater(cost) {
+			return true
+		}
+		if !evicted {
+			return false
+		}
+	}
+	return false
+}
+
+func (c *Conn) chargeLater(cost int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.charge(cost)
+}
+
 var newline = []byte{'\n'}
 
 // readDeadline returns the deadline for the next read.
