routing: requests above their workspace's share have a priority of their own

Cause: endpoints order their queues by Request-Priority. All requests of an urgency had one priority, so a workspace that sends far more than usual delays all others of its urgency. Change: Table.Priority takes whether a request is above its workspace's share and gives two priorities per urgency. With more than five urgencies the most urgent ones are not divided, at least the three least urgent ones are. No caller passes true yet.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -157,7 +157,7 @@
 
 // authorize is authenticate for a key that belongs to a workspace, or to none if w is nil.
 func (s *State) authorize(now boottime.Instant, hasKey bool, w *routing.Workspace, ad *Admission) Reason {
-	ad.Priority = s.table.Priority(nil, ad.Route)
+	ad.Priority = s.table.Priority(nil, ad.Route, false)
 	if !s.table.KeysRequired() || ad.Route.Public && !hasKey {
 		return ReasonNone
 	}
@@ -174,7 +174,7 @@
 		return s.denialReason(now, ReasonUnauthenticated)
 	}
 	ad.Workspace = w.ID
-	ad.Priority = s.table.Priority(w, ad.Route)
+	ad.Priority = s.table.Priority(w, ad.Route, false)
 	return ReasonNone
 }
 
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -62,7 +62,7 @@
 	if id != "" {
 		return s.authorize(now, true, s.table.WorkspaceByID(id), ad)
 	}
-	ad.Priority = s.table.Priority(nil, ad.Route)
+	ad.Priority = s.table.Priority(nil, ad.Route, false)
 	if !ad.Route.Public && !s.freshEnoughForAuth(now) {
 		return ReasonStale
 	}
--- a/internal/control/explain_test.go
+++ b/internal/control/explain_test.go
@@ -105,7 +105,7 @@
 	if !reflect.DeepEqual(got, want) || x.Decision.Endpoint != "e-5" || x.Endpoints[0].Endpoint != "e-5" || x.Rule != "affinity" {
 		t.Errorf("excluded %v, want %v; decision %+v", got, want, x.Decision)
 	}
-	if x.Workspace != "w" || x.Priority != s.table.Priority(s.table.WorkspaceByID("w"), s.table.Route("h", "/chat/x")) || x.Route != "chat" || len(x.Conditions) != 0 {
+	if x.Workspace != "w" || x.Priority != s.table.Priority(s.table.WorkspaceByID("w"), s.table.Route("h", "/chat/x"), false) || x.Route != "chat" || len(x.Conditions) != 0 {
 		t.Errorf("%+v", x)
 	}
 	for _, e := range x.Endpoints {
--- a/internal/routing/priority.go
+++ b/internal/routing/priority.go
@@ -41,13 +41,27 @@
 	return cmp.Or(cmp.Compare(a.first, b.first), cmp.Compare(a.second, b.second))
 }
 
+// minDivided is the number of urgencies, the least urgent ones, that have a priority above the share of their own even if
+// there are more urgencies than priorities. More urgent requests hardly wait in the queues of endpoints, so that
+// their order within an urgency matters less than that between urgencies.
+const minDivided = 3
+
 // Priority returns the priority of a request of a workspace, nil for none, on a route, from 0 to PriorityLevels-1. The
-// workspace's priority takes precedence; among equal ones the route's decides. A configuration with more than
-// PriorityLevels urgencies has neighbouring ones share a priority.
-func (t *Table) Priority(w *Workspace, r *Route) int {
+// workspace's priority takes precedence; among equal ones the route's decides. Requests above their workspace's share,
+// see package contention, follow those within it of the same urgency. A configuration with more than PriorityLevels/2
+// urgencies does not divide the most urgent ones, and has neighbouring ones of them share a priority if there are more
+// than are left.
+func (t *Table) Priority(w *Workspace, r *Route, above bool) int {
 	i, _ := slices.BinarySearchFunc(t.ranks, urgencyOf(w, r), compareUrgency)
-	if n := len(t.ranks); n > PriorityLevels {
-		return i * PriorityLevels / n
+	divided := min(len(t.ranks), max(PriorityLevels-len(t.ranks), minDivided))
+	undivided := len(t.ranks) - divided
+	levels := min(undivided, PriorityLevels-2*divided)
+	if i < undivided {
+		return i * levels / undivided
+	}
+	p := levels + 2*(i-undivided)
+	if above {
+		p++
 	}
-	return i
+	return p
 }
