contention: requests above their workspace's share are marked while requests queue

Cause: nothing is rejected until the wait in queues reaches three quarters of the latency goal of the least urgent route. Until then a workspace at eight times its usual rate delays all others of its priority. Change: above a utilization of 1.1, Decision.AboveShare marks requests above the workspace's share of the capacity: max-min fair by the usual rates, used in the order of the workspace's priorities, at least 1.25 times the usual rate. Marks draw no random numbers and leave the state of the loop and of the division under contention as it is.

--- a/internal/contention/admit.go
+++ b/internal/contention/admit.go
@@ -51,6 +51,7 @@
 	RetryAfter time.Duration // of a rejection
 	Rank       int           // position among 1,000 recent requests of this gateway, 0 first; 0 without contention
 	Reason     Reason        // of a rejection
+	AboveShare bool          // the request waits behind those within their workspaces' shares of the same priority; false without queueing
 }
 
 // rankScale is the number of requests to which ranks are scaled.
@@ -60,10 +61,12 @@
 func (c *Controller) Admit(now boottime.Instant, r Request) Decision {
 	c.sample.sequence++
 	o := observed{at: now, workspace: r.Workspace, weight: 1, variate: variate(c.seed, c.sample.sequence), admitted: true}
+	c.countUsual(now, o.workspace)
+	aboveShare := c.aboveQueueShare(now, &r, o.variate)
 	if !c.contended(now) {
 		o.key = c.key(&r, false)
 		c.sample.push(o)
-		return Decision{Admitted: true}
+		return Decision{Admitted: true, AboveShare: aboveShare}
 	}
 	c.sample.expire(now, &c.opts)
 	o.preferred = c.mayPrefer(&r)
@@ -87,7 +90,7 @@
 	if missing := float32(c.opts.MinSample) - total; missing > 0 {
 		own, total = own+missing, total+missing
 	}
-	d := Decision{Rank: min(int(before/total*rankScale), rankScale-1)}
+	d := Decision{Rank: min(int(before/total*rankScale), rankScale-1), AboveShare: aboveShare}
 	if c.startsTooLate(&r, float64((notLater+own)/total)) {
 		d.Reason, d.RetryAfter = ReasonDeadline, c.retryAfter(now, &r)
 		return d
--- a/internal/contention/controller.go
+++ b/internal/contention/controller.go
@@ -15,6 +15,7 @@
 	loop   loop
 	sample requestSample
 	shares shares
+	queue  queueShares
 }
 
 // New returns a controller that admits everything until Update finds contention. Gateways use
@@ -36,10 +37,12 @@
 func (c *Controller) Update(now boottime.Instant, load float64, slots int, serviceTime, wait time.Duration) {
 	elapsed := now.Sub(c.loop.updated)
 	c.loop.update(now, load, slots, serviceTime, wait)
+	elapsed = min(elapsed, c.opts.UpdateTimeout)
 	if c.contended(now) {
 		c.sample.expire(now, &c.opts)
-		c.updateShares(now, load, min(elapsed, c.opts.UpdateTimeout).Seconds())
+		c.updateShares(now, load, elapsed.Seconds())
 	}
+	c.updateQueue(now, load, elapsed)
 }
 
 // SetWorkspaceLoads sets the fleet's running requests by workspace. It keeps the largest entries only and does
--- a/internal/contention/loop.go
+++ b/internal/contention/loop.go
@@ -29,6 +29,7 @@
 	target      float64
 	hold        time.Duration // service time used by the model
 	demand      float64       // estimate, in multiples of the capacity
+	inflow      float64       // as last observed, in multiples of the capacity
 	share       float64       // to admit; 1 while not contended
 	average     float64       // of the share, over the time for which requests run
 	contended   bool
@@ -138,6 +139,7 @@
 	}
 	growth := l.hold.Seconds() * (l.utilization - first.utilization) / now.Sub(first.at).Seconds()
 	inflow := max(busy/float64(n)+growth, 0)
+	l.inflow = inflow
 
 	low, high := l.sharesWithin(now, l.opts.MinDelay, l.opts.MaxDelay)
 	bounded := min(max(l.demand, inflow/max(high, l.opts.MinShare)), inflow/max(low, l.opts.MinShare))
--- a/internal/contention/options.go
+++ b/internal/contention/options.go
@@ -43,6 +43,15 @@
 	LoadAge           time.Duration // usual age of the workspaces' loads
 	MaxWorkspaces     int           // workspaces whose loads are used, the largest first
 
+	// Order of the queues.
+
+	QueueMargin     float64       // above a utilization of 1: a mean load of 1 has short queues at single endpoints
+	QueueEndAfter   time.Duration // queueing ends when the utilization has been below the margin for this long
+	QueueDemandTime time.Duration // time constant of the demand that the shares follow
+	UsualTime       time.Duration // time constant of the workspaces' usual rates, without the time of queueing
+	MinUsualTime    time.Duration // a shorter observation of a workspace does not show its usual rate
+	UsualMargin     float64       // of its usual rate: up to this multiple a workspace is within its share, so that random variation is not marked
+
 	// Rejections.
 
 	MinPatience    time.Duration // callers wait at least this long for the first event
@@ -91,6 +100,13 @@
 		LoadAge:           300 * time.Millisecond,
 		MaxWorkspaces:     16,
 
+		QueueMargin:     0.1,
+		QueueEndAfter:   time.Second,
+		QueueDemandTime: 500 * time.Millisecond,
+		UsualTime:       3 * time.Minute,
+		MinUsualTime:    10 * time.Second,
+		UsualMargin:     1.25,
+
 		MinPatience:    2 * time.Second,
 		PatiencePer:    4,
 		PatiencePause:  8,
--- a/internal/contention/shares.go
+++ b/internal/contention/shares.go
@@ -85,9 +85,8 @@
 	return float32(s.others)
 }
 
-// updateShares computes the workspaces' shares of what is admitted at the marginal level, and from them the keys of the
-// sample.
-func (c *Controller) updateShares(now boottime.Instant, load, elapsed float64) {
+// countUses counts the requests of the sample by workspace and weighs them.
+func (c *Controller) countUses(now boottime.Instant, load float64) {
 	s := &c.shares
 	if s.uses == nil {
 		s.uses = make(map[uint32]*workspaceUse, sampleSize)
@@ -106,7 +105,13 @@
 		u.requests++
 	}
 	c.weigh(now, load)
+}
 
+// updateShares computes the workspaces' shares of what is admitted at the marginal level, and from them the keys of the
+// sample.
+func (c *Controller) updateShares(now boottime.Instant, load, elapsed float64) {
+	c.countUses(now, load)
+	s := &c.shares
 	var counts [levels]float64
 	total := 0.0
 	for i := range c.sample.len {
@@ -174,13 +179,13 @@
 		return
 	}
 	total := float64(c.sample.len)
-	perRunning := total / load * max(c.loop.average, c.opts.MinShare)
 	limit := c.opts.MaxWeight
 	restOffered, restRequests := total, total
-	for _, w := range s.fleet {
+	for i := range s.fleet {
+		w := &s.fleet[i]
 		if u := s.uses[w.workspace]; u != nil {
 			n := float64(u.requests)
-			u.weight, u.known = perRunning*float64(w.running)/max(w.admitted, c.opts.MinShare)/n, true
+			u.weight, u.known = c.offeredBy(w, load)/n, true
 			u.weight = min(max(u.weight, 1/limit), limit)
 			restOffered -= u.weight * n
 			restRequests -= n
@@ -196,6 +201,17 @@
 	}
 }
 
+// offeredBy returns what one of the fleet's largest workspaces offers, in requests of the sample. Without contention,
+// everything is admitted.
+func (c *Controller) offeredBy(w *workspaceLoad, load float64) float64 {
+	average, admitted := c.loop.average, w.admitted
+	if !c.loop.contended {
+		average, admitted = 1, 1
+	}
+	perRunning := float64(c.sample.len) / load * max(average, c.opts.MinShare)
+	return perRunning * float64(w.running) / max(admitted, c.opts.MinShare)
+}
+
 // followAdmitted updates the parts of the largest workspaces' requests that are admitted, from the parts that are admitted of the
 // requests within and above the shares at the marginal level. They follow with
 // the time for which requests run, since they are compared with running requests.
--- a/internal/contention/sim_test.go
+++ b/internal/contention/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -19,6 +20,7 @@
 	rate                              func(at time.Duration) float64 // offered, in multiples of the capacity
 	next                              func(s *simulation) Request    // the properties of a request
 	returns                           bool                           // rejected callers return once, after their Retry-After
+	urgency                           func(*result) int              // endpoints start the requests with the least first; nil: in the order of arrival
 	noLoads                           bool                           // the loads of workspaces are not distributed
 	restart                           func(at time.Duration, gateway int) bool
 
@@ -186,9 +188,22 @@
 		s.busy--
 		s.current[res.Workspace]--
 		if len(e.waiting) > 0 {
-			next := e.waiting[0]
-			e.waiting = e.waiting[1:]
-			s.start(e, next)
+			s.start(e, s.take(e))
 		}
 	})
 }
+
+// take removes the next request to start from a queue.
+func (s *simulation) take(e *endpointQueue) *result {
+	first := 0
+	if s.urgency != nil {
+		for i, r := range e.waiting {
+			if s.urgency(r) < s.urgency(e.waiting[first]) {
+				first = i
+			}
+		}
+	}
+	next := e.waiting[first]
+	e.waiting = slices.Delete(e.waiting, first, first+1)
+	return next
+}
