control: requests above their workspace's share get the lower priority

Cause: endpoints order their queues by Request-Priority, which does not depend on shares. Change: Admit sets the priority above the share for marked requests. The requests of workspaces are reported to peers while a service queues, too, and for five seconds after.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -90,7 +90,7 @@
 	Route       *routing.Route
 	Service     fleet.ServiceID
 	Workspace   fleet.WorkspaceID
-	Priority    int // of the workspace and the route, see routing.Table.Priority; 0 is the highest
+	Priority    int // of the workspace and the route, and lower above the workspace's share, see routing.Table.Priority; 0 is the highest
 	Timeout     time.Duration
 	HeaderLimit int               // bytes, 0: none
 	BodyLimit   int64             // bytes, 0: none
@@ -118,9 +118,13 @@
 	ad.Service = s.pickService(ad.Route, req.Affinity)
 	ad.Hold = s.AwaitsEvidence(now)
 	s.retryWindow(ad.Service).CountRequest(now)
-	if d := s.admitUnderContention(now, &req, &ad); !d.Admitted {
+	d := s.admitUnderContention(now, &req, &ad)
+	if !d.Admitted {
 		ad.Reason, ad.RetryAfter, ad.Contention = ReasonContention, d.RetryAfter, d.Reason
 	}
+	if d.AboveShare {
+		ad.Priority = s.table.Priority(s.table.WorkspaceByID(ad.Workspace), ad.Route, true)
+	}
 	return ad
 }
 
--- a/internal/control/backlog.go
+++ b/internal/control/backlog.go
@@ -74,8 +74,8 @@
 func (s *State) PromptRead(now boottime.Instant, a *Attempt) { s.backlog.tracker.Begun(now, a) }
 
 // SetWorkspaceLoads sets the requests in flight of workspaces at this process, by the low 32 bits of fleet.Hash of the
-// workspace's ID. They are sent to peers until they are set to nil: they must be nil unless this process has been contended
-// lately. The map must not be changed afterwards.
+// workspace's ID. They are sent to peers until they are set to nil: they must be nil unless a service has been contended or
+// queued requests lately. The map must not be changed afterwards.
 func (s *State) SetWorkspaceLoads(loads map[uint32]int) {
 	if (loads == nil) != (s.backlog.ownWorkspaces == nil) {
 		s.peerLoads.statusVersion++
@@ -83,7 +83,7 @@
 	s.backlog.ownWorkspaces = loads
 }
 
-// WorkspaceLoads returns the requests in flight of workspaces over the fleet, as far as gateways that have been contended lately
+// WorkspaceLoads returns the requests in flight of workspaces over the fleet, as far as gateways that have seen contention or queues lately
 // report them, with those of this process. It returns nil if there are none.
 func (s *State) WorkspaceLoads(now boottime.Instant) map[uint32]int {
 	s.refreshBacklog(now)
--- a/internal/control/contention.go
+++ b/internal/control/contention.go
@@ -16,6 +16,7 @@
 	contention      *contention.Controller
 	queueLimit      float64          // load at which endpoints refuse requests, as a multiple of their slots; 0: not known
 	contended       bool             // as of the last tick
+	queueing        bool             // as of the last tick
 	speedReportedAt boottime.Instant // last report of a speed by an endpoint; 0: none
 }
 
@@ -46,8 +47,9 @@
 		hold := s.costs.ServiceTime(id)
 		l.contention.Update(now, load, slots, hold, l.longestWait(hold, goals[id]))
 		s.logContention(now, id, l)
-		if l.contended {
-			s.contendedAt = now
+		l.queueing = l.contention.Queueing(now)
+		if l.contended || l.queueing {
+			s.queuedAt = now
 			l.contention.SetWorkspaceLoads(s.WorkspaceLoads(now))
 		}
 	}
@@ -104,13 +106,14 @@
 	return goals
 }
 
-// workspaceReportPeriod is how long after contention the requests of workspaces are reported to peers: contention that comes
-// and goes does not make the fleet's sums incomplete.
+// workspaceReportPeriod is how long after contention or queueing the requests of workspaces are reported to peers: queues that
+// come and go do not make the fleet's sums incomplete.
 const workspaceReportPeriod = 5 * time.Second
 
-// reportWorkspaces reports the workspaces' requests in flight to peers while services are contended, and for a while after.
+// reportWorkspaces reports the workspaces' requests in flight to peers while services are contended or queue requests, and for a
+// while after.
 func (s *State) reportWorkspaces(now boottime.Instant) {
-	if s.contendedAt == 0 || now.Sub(s.contendedAt) > workspaceReportPeriod {
+	if s.queuedAt == 0 || now.Sub(s.queuedAt) > workspaceReportPeriod {
 		s.SetWorkspaceLoads(nil)
 		return
 	}
@@ -166,8 +169,9 @@
 	return l != nil && l.contended
 }
 
-// admitUnderContention decides whether a request is admitted while its service is contended. A request that goes on with a
-// stream that has begun is admitted: most of its work is done.
+// admitUnderContention decides whether a request is admitted while its service is contended, and whether it is above its
+// workspace's share while requests queue. A request that goes on with a stream that has begun is admitted: most of its work
+// is done.
 func (s *State) admitUnderContention(now boottime.Instant, req *AdmissionRequest, ad *Admission) contention.Decision {
 	l := s.serviceLoadOf(ad.Service)
 	r := contention.Request{
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -74,7 +74,7 @@
 	costs                  *cost.Model
 	serviceLoads           map[fleet.ServiceID]*serviceLoad
 	workspaceInFlight      map[uint32]int              // attempts of this process, by shortWorkspaceID
-	contendedAt            boottime.Instant            // when a service was last contended; 0: never
+	queuedAt               boottime.Instant            // when a service was last contended or queued requests; 0: never
 	timeLimits             map[string]*callerTimeLimit // of callers, by route
 	outliersCheckedAt      boottime.Instant
 	loggedAggregators      []fleet.InstanceID
