--- a/internal/mesh/backlog.go
+++ b/internal/mesh/backlog.go
@@ -17,7 +17,7 @@
 const maxWorkspaces = 16
 
 // Backlog is the outstanding work and the speed of endpoints, by their short IDs, and the requests in flight of workspaces
-// that are reported by gateways that have been contended lately, by the low 32 bits of the hash of the workspace's ID.
+// that are reported by gateways that have seen contention or queues lately, by the low 32 bits of the hash of the workspace's ID.
 type Backlog struct {
 	Speeds     map[uint32]backlog.Speed
 	Reads      map[uint32]time.Duration // pending prefill times
--- a/internal/mesh/status.go
+++ b/internal/mesh/status.go
@@ -26,7 +26,7 @@
 	Failed          wire.Counts // recent failures of endpoints
 	FailureReports  []wire.FailureReport
 	RecentChanges   *wire.StoreUpdate // sent by Broadcast and Relay; nil: there are none, or they don't fit in a Status
-	Backlog         Backlog           // of this gateway: recent reports, pending reads of 10 ms and more, and workspaces while it is contended
+	Backlog         Backlog           // of this gateway: recent reports, pending reads of 10 ms and more, and workspaces while a service is contended or queues requests
 	Version         uint64            // rises with each change of a field above, except Confirmed
 }
 
--- a/internal/wire/backlog.go
+++ b/internal/wire/backlog.go
@@ -17,7 +17,7 @@
 	Digest     uint32          // of the short IDs of all endpoints, as in LoadSummary; a receiver with others ignores the endpoints
 	Speeds     []EndpointSpeed // sorted by position
 	Reads      []PendingRead   // sorted by position
-	Workspaces []WorkspaceLoad // only while the sender has been contended lately
+	Workspaces []WorkspaceLoad // only while the sender has seen contention or queues lately
 }
 
 // EndpointSpeed is how long work takes at an endpoint, as it has reported.
