--- a/internal/contention/admit.go
+++ b/internal/contention/admit.go
@@ -51,6 +51,7 @@
 	RetryAfter time.Duration // of a rejection
 	Rank       int           // position among 1,000 recent requests of this gateway, 0 first; 0 without contention
 	Reason     Reason        // of a rejection
+	AboveShare bool          // the request waits behind those within their workspaces' shares of the same priority; false without queueing
 }
 
 // rankScale is the number of requests to which ranks are scaled.
@@ -68,13 +69,15 @@
 func (c *Controller) Admit(now boottime.Instant, r Request) Decision {
 	c.sample.sequence++
 	v := variate(c.seed, c.sample.sequence)
+	c.countUsual(now, r.Workspace)
+	aboveShare := c.aboveQueueShare(now, &r, v)
 	if !c.contended(now) {
 		c.sample.push(observed{at: now, key: c.key(&r, false), workspace: r.Workspace, weight: 1, variate: v, admitted: true})
-		return Decision{Admitted: true}
+		return Decision{Admitted: true, AboveShare: aboveShare}
 	}
 	c.sample.expire(now, &c.opts)
 	a := c.assess(now, &c.sample, &r, v)
-	d := Decision{Rank: a.rank}
+	d := Decision{Rank: a.rank, AboveShare: aboveShare}
 	if a.reason == ReasonDeadline {
 		d.Reason, d.RetryAfter = ReasonDeadline, c.retryAfter(now, &r)
 		return d
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -91,7 +91,7 @@
 	Route       *routing.Route
 	Service     fleet.ServiceID
 	Workspace   fleet.WorkspaceID
-	Priority    int // of the workspace and the route, see routing.Table.Priority; 0 is the highest
+	Priority    int // of the workspace and the route, and lower above the workspace's share, see routing.Table.Priority; 0 is the highest
 	Timeout     time.Duration
 	HeaderLimit int               // bytes, 0: none
 	BodyLimit   int64             // bytes, 0: none
@@ -124,9 +124,13 @@
 	ad.Service = s.pickService(ad.Route, req.Affinity)
 	ad.Hold = s.AwaitsEvidence(now)
 	s.retryWindow(ad.Service).CountRequest(now)
-	if d := s.admitUnderContention(now, &req, &ad); !d.Admitted {
+	d := s.admitUnderContention(now, &req, &ad)
+	if !d.Admitted {
 		ad.Reason, ad.RetryAfter, ad.Contention = ReasonContention, d.RetryAfter, d.Reason
 	}
+	if d.AboveShare {
+		ad.Priority = s.table.Priority(s.table.WorkspaceByID(ad.Workspace), ad.Route, true)
+	}
 	return ad
 }
 
@@ -163,7 +167,7 @@
 
 // authorize is authenticate for a key that belongs to a workspace, or to none if w is nil.
 func (s *State) authorize(now boottime.Instant, hasKey bool, w *routing.Workspace, ad *Admission) Reason {
-	ad.Priority = s.table.Priority(nil, ad.Route)
+	ad.Priority = s.table.Priority(nil, ad.Route, false)
 	if !s.table.KeysRequired() || ad.Route.Public && !hasKey {
 		return ReasonNone
 	}
@@ -180,7 +184,7 @@
 		return s.denialReason(now, ReasonUnauthenticated)
 	}
 	ad.Workspace = w.ID
-	ad.Priority = s.table.Priority(w, ad.Route)
+	ad.Priority = s.table.Priority(w, ad.Route, false)
 	return ReasonNone
 }
 
