controltest: endpoints with slots, a bounded queue by priority and prefill times

Loads under contention need endpoints that queue by priority, refuse beyond a queue length with a load report, and take time for uncached prompts, and callers that lose patience before the first event. Calls now carry their token counts, workspace and goals to the placement, as package ingress does, and return the Retry-After of a refusal.

--- a/internal/controltest/attempt.go
+++ b/internal/controltest/attempt.go
@@ -24,7 +24,9 @@
 	endpoint     *Endpoint
 	placed       *control.Attempt
 	closed       bool
-	running      bool // the endpoint has begun to run the request
+	running      bool // the endpoint runs the request, or has queued it
+	inSlot       bool // it runs in a slot of an endpoint with a QueueLimit
+	loadReported bool // such an endpoint has reported its load with the response
 	lastProgress boottime.Instant
 	suspected    bool             // the endpoint was probed since the last progress
 	nextCheck    boottime.Instant // whether to give the attempt up
@@ -36,6 +38,9 @@
 	a := &callAttempt{call: c, endpoint: e, placed: placed, lastProgress: w.Now()}
 	c.attempt = a
 	c.tried = append(c.tried, placed.Endpoint)
+	if w.OnAttempt != nil {
+		w.OnAttempt(c.Call, e)
+	}
 	switch {
 	case e.Blackholed || w.partitioned(string(c.n.ID), string(e.ID)):
 		w.After(probeTimeout, func() { a.fail(control.ConnectTimedOut, false) })
@@ -57,11 +62,19 @@
 		a.fail(control.ConnectionRefused, false)
 		return
 	}
+	if e.full() {
+		a.refuse()
+		return
+	}
 	a.running = true
-	a.Runs++
 	e.Arrivals = append(e.Arrivals, w.Now())
 	e.InFlight++
 	e.onCrash = append(e.onCrash, a.breakOff)
+	if e.QueueLimit > 0 {
+		e.add(a)
+		return
+	}
+	a.Runs++
 	e.sendLoadReport(a.n, a.placed)
 	if a.admission.Route.Kind == routing.Streaming {
 		a.sendEvent()
@@ -90,8 +103,7 @@
 // respond sends a response that is not a stream.
 func (a *callAttempt) respond() {
 	a.whenSpeaking(func() {
-		a.endpoint.InFlight--
-		a.running = false
+		a.leave()
 		if a.endpoint.Failing {
 			a.BreakOffs++
 			a.receive(func() { a.ownFailure = true; a.ended(control.EndpointFailed, true, true) })
@@ -106,11 +118,10 @@
 	next := a.call.received + 1
 	var send func(n int)
 	send = func(n int) {
-		a.n.World.After(a.endpoint.ServiceTime/time.Duration(a.Events), func() {
+		a.n.World.After(a.pause(n == next), func() {
 			a.whenSpeaking(func() {
 				if n > a.Events {
-					a.endpoint.InFlight--
-					a.running = false
+					a.leave()
 					a.receive(a.complete)
 					return
 				}
@@ -143,9 +154,11 @@
 		a.n.State.StreamStarted(now, a.ID, a.placed, a.deadline.Sub(now)+time.Second)
 	}
 	a.call.received++
+	a.noteFirst()
 }
 
 func (a *callAttempt) complete() {
+	a.noteFirst()
 	a.n.State.ResponseStarted(a.n.World.Now(), a.placed)
 	a.close(control.ResponseComplete)
 	a.end(Answered, control.ReasonNone)
@@ -156,8 +169,7 @@
 	if a.stopped() {
 		return
 	}
-	a.endpoint.InFlight--
-	a.running = false
+	a.leave()
 	a.fail(control.ResponseBroken, true)
 }
 
@@ -182,7 +194,7 @@
 	}
 	a.closed = true
 	if a.running {
-		a.endpoint.InFlight--
+		a.leave()
 	}
 	a.n.State.AttemptEnded(a.n.World.Now(), a.placed, r)
 }
--- a/internal/controltest/call.go
+++ b/internal/controltest/call.go
@@ -6,6 +6,7 @@
 	"github.com/dandelionvane/dandelionvane/internal/attempts"
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/cost"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 )
 
@@ -39,18 +40,23 @@
 	Timeout time.Duration // that the caller gives
 	LeaveAt time.Duration // after which the caller leaves; 0: it stays
 	Events  int           // of the response, if the route is one of streams
+	// Patience is the time after which the caller leaves if nothing has arrived; 0: it stays.
+	Patience time.Duration
 
 	ArrivedAt boottime.Instant
 	EndedAt   boottime.Instant
-	End       CallEnd // 0: it has not ended
+	FirstAt   boottime.Instant // the first event, or the response, arrived at the gateway; 0: none did
+	End       CallEnd          // 0: it has not ended
 	Reason    control.Reason
-	Route     string
-	Service   fleet.ServiceID
-	Once      bool // it may run once at most
-	Runs      int  // endpoints that began to run it
-	BreakOffs int  // endpoints that broke off or failed while they ran it
-	Silenced  bool // an endpoint that ran it was silent
-	AtWork    bool // an endpoint ran it when its gateway ended
+	// RetryAfter belongs to a refusal.
+	RetryAfter time.Duration
+	Route      string
+	Service    fleet.ServiceID
+	Once       bool // it may run once at most
+	Runs       int  // endpoints that began to run it
+	BreakOffs  int  // endpoints that broke off or failed while they ran it
+	Silenced   bool // an endpoint that ran it was silent
+	AtWork     bool // an endpoint ran it when its gateway ended
 }
 
 // call is the state of a Call in its gateway.
@@ -86,6 +92,15 @@
 	if c.LeaveAt > 0 {
 		n.World.After(c.LeaveAt, func() { s.step(func() { s.abandon(CallerLeft) }) })
 	}
+	if c.Patience > 0 {
+		n.World.After(c.Patience, func() {
+			s.step(func() {
+				if s.received == 0 {
+					s.abandon(CallerLeft)
+				}
+			})
+		})
+	}
 }
 
 // step runs f in the gateway unless the call has ended, or the process that handles it.
@@ -100,6 +115,9 @@
 	})
 }
 
+// refusedRetryAfter is the mean retry-after of a request that endpoints refused, as in package ingress.
+const refusedRetryAfter = 250 * time.Millisecond
+
 // stepDelay is the time between two steps of a call at a gateway with little processor time.
 const stepDelay = 5 * time.Millisecond
 
@@ -127,6 +145,7 @@
 		c.end(CallRejected, c.admission.Reason)
 		return
 	default:
+		c.RetryAfter = c.admission.RetryAfter
 		c.end(CallRefused, c.admission.Reason)
 		return
 	}
@@ -157,7 +176,12 @@
 }
 
 func (c *call) placementRequest() control.PlacementRequest {
-	req := control.PlacementRequest{Service: c.admission.Service, Affinity: c.Affinity, Tried: c.tried}
+	route := c.admission.Route
+	req := control.PlacementRequest{
+		Service: c.admission.Service, Affinity: c.Affinity, Tried: c.tried, Workspace: c.admission.Workspace, Cost: c.Size,
+		Goal: cost.Goal{Latency: route.GoalLatency, EventGap: route.GoalEventGap, Priority: c.admission.Priority},
+	}
+	req.Cost.Service, req.Cost.Route = c.admission.Service, route.Name
 	if c.received > 0 {
 		req.Stream = c.ID
 	}
@@ -171,6 +195,7 @@
 		return
 	}
 	if p.Reason != control.ReasonNone {
+		c.RetryAfter = p.RetryAfter
 		c.endAttempts(p.Reason)
 		return
 	}
@@ -213,6 +238,7 @@
 	case len(c.givenUp) > 0 && !c.ownFailure:
 		c.n.World.After(overdueCheckInterval, func() { c.step(c.retry) })
 	default:
+		c.RetryAfter = p.RetryAfter
 		c.endAttempts(p.Reason)
 	}
 }
@@ -246,6 +272,9 @@
 	case c.ownFailure:
 		c.end(FailureAnswered, r)
 	case c.mayHaveRun == 0:
+		if c.RetryAfter == 0 {
+			c.RetryAfter = c.n.State.RetryAfter(c.n.World.Now(), control.PlacementRequest{Service: c.Service}, refusedRetryAfter)
+		}
 		c.end(CallRefused, r)
 	case c.received > 0:
 		c.end(StreamCut, r)
--- a/internal/controltest/request.go
+++ b/internal/controltest/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
+	"github.com/dandelionvane/dandelionvane/internal/cost"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 )
 
@@ -14,17 +15,23 @@
 	fleet.Endpoint
 	ServiceTime time.Duration
 	Slots       int
-	Down        bool             // it refuses connections
-	Blackholed  bool             // it does not reply to anything
-	Failing     bool             // it responds with a failure of its own
-	SilentUntil boottime.Instant // it is sound, but sends nothing before
-	ReportsLoad bool             // it reports its load with its responses
-	Speed       int              // reported with its load, in percent of the usual time; 0: not reported
+	Down        bool                      // it refuses connections
+	Blackholed  bool                      // it does not reply to anything
+	Failing     bool                      // it responds with a failure of its own
+	SilentUntil boottime.Instant          // it is sound, but sends nothing before
+	ReportsLoad bool                      // it reports its load with its responses
+	Speed       int                       // reported with its load, in percent of the usual time; 0: not reported
+	Slowdown    float64                   // actual time as a multiple of the usual one; 0: 1
+	QueueLimit  int                       // requests that may wait for Slots, the most urgent first; it refuses others; 0: any, in their order
+	PerEvent    time.Duration             // of a stream, with a QueueLimit
+	PerToken    time.Duration             // prefill time per uncached prompt token, with a QueueLimit; one prompt at a time
+	Misreport   func(*control.LoadReport) // changes what it reports; may be nil
 	InFlight    int
 	Arrivals    []boottime.Instant
 
 	slotFreeAt []boottime.Instant // when each slot becomes free
-	onCrash    []func()           // break the streams that run
+	queue      slotQueue
+	onCrash    []func() // break the streams that run
 }
 
 // Crash ends the endpoint's process: its streams break, and it refuses connections.
@@ -43,6 +50,7 @@
 	Path     string
 	Key      string
 	Affinity uint64
+	Size     cost.Request // its token counts
 }
 
 // Outcome is the result of a request.
@@ -133,6 +141,12 @@
 	}
 	w, process := n.World, n.incarnation
 	report := control.LoadReport{Running: e.InFlight, Speed: e.Speed}
+	if e.QueueLimit > 0 {
+		report.Running, report.Waiting = e.queue.running, len(e.queue.waiting)
+	}
+	if e.Misreport != nil {
+		e.Misreport(&report)
+	}
 	w.After(networkDelay, func() {
 		if n.incarnation == process {
 			n.run(func() { n.State.ReportLoad(w.Now(), attempt, report) })
--- a/internal/controltest/world.go
+++ b/internal/controltest/world.go
@@ -44,6 +44,7 @@
 	Options     func(o *control.Options) // adjusts the options of each gateway; may be nil
 	OnLog       func(n *Node, l control.Log)
 	OnSend      func(n *Node, frame []byte) // called with each message that a gateway sends; may be nil
+	OnAttempt   func(c *Call, e *Endpoint)  // called with each attempt of a call; may be nil
 
 	rng            *rand.Rand
 	nodesByID      map[fleet.InstanceID]*Node
