control: the tick of contention does not keep peers' counts for placements

Cause: tickContention read the peers' counts with peerCounts, which keeps them until the next Status arrives. Without contention, a gateway cut off from its peers then placed requests with counts of an earlier time than before, so that decisions changed without contention or speeds. Change: it reads them with peekPeerCounts, once per tick.

--- a/internal/control/contention.go
+++ b/internal/control/contention.go
@@ -36,12 +36,13 @@
 	}
 	goals := leastUrgentGoals(s.table.Config().Routes)
 	s.reportWorkspaces(now)
+	counts := s.peekPeerCounts(now)
 	for i := range s.table.Config().Services {
 		id := s.table.Config().Services[i].ID
 		if goals[id] == 0 {
 			continue // nothing says how long its requests may wait
 		}
-		load, slots := s.loadAndSlots(now, id)
+		load, slots := s.loadAndSlots(now, id, counts)
 		l := s.serviceLoadOf(id)
 		hold := s.costs.ServiceTime(id)
 		l.contention.Update(now, load, slots, hold, l.longestWait(hold, goals[id]))
@@ -136,9 +137,9 @@
 }
 
 // loadAndSlots returns the fleet's requests at the endpoints of a service that take requests at their usual rate, and
-// the sum of the slots there. Endpoints without a published number of slots are left out.
-func (s *State) loadAndSlots(now boottime.Instant, service fleet.ServiceID) (load float64, slots int) {
-	counts := s.peerCounts(now)
+// the sum of the slots there. Endpoints without a published number of slots are left out. The peers' counts come from
+// peekPeerCounts: peerCounts would keep those of this time for later placements, also when they have expired.
+func (s *State) loadAndSlots(now boottime.Instant, service fleet.ServiceID, counts map[uint32]int) (load float64, slots int) {
 	for _, e := range s.services[service] {
 		if e.Capacity <= 0 || !s.usable(now, e) || e.health.down || now.Before(e.coldStart.until) || now.Before(e.noRequestsUntil) {
 			continue
