--- a/internal/control/backlog_test.go
+++ b/internal/control/backlog_test.go
@@ -19,12 +19,7 @@
 func rankedFleet(t *testing.T) *controltest.World {
 	t.Logf("seed %d", seed)
 	w := controltest.New(seed)
-	w.Options = func(o *control.Options) {
-		o.Self.CPUMillis = 192
-		if n := len(o.Self.ID); o.Self.ID[n-2] == '-' && o.Self.ID[n-1] <= '2' {
-			o.Self.CPUMillis = 1000 - uint32(o.Self.ID[n-1]-'0')
-		}
-	}
+	w.Options = rankGateways
 	for dc, n := range []int{24, 20, 19, 20} {
 		for i := range n {
 			w.AddNode(fleet.DataCentreID(rune('a'+dc)), i+1)
@@ -40,6 +35,14 @@
 	return w
 }
 
+// rankGateways makes the gateways 1 and 2 of a data centre its aggregators.
+func rankGateways(o *control.Options) {
+	o.Self.CPUMillis = 192
+	if n := len(o.Self.ID); o.Self.ID[n-2] == '-' && o.Self.ID[n-1] <= '2' {
+		o.Self.CPUMillis = 1000 - uint32(o.Self.ID[n-1]-'0')
+	}
+}
+
 func nodeOf(w *controltest.World, id fleet.InstanceID) *controltest.Node {
 	for _, n := range w.Nodes {
 		if n.ID == id {
