--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -32,6 +32,7 @@
 
 	cost                cost.Request
 	workspace           uint32        // shortWorkspaceID
+	cached              bool          // the prompt's shared prefix was assumed to be cached
 	pendingRead         time.Duration // prefill time that was outstanding at the endpoint before the attempt
 	version             origin.Version
 	entryCertain        bool
--- a/internal/control/bytime.go
+++ b/internal/control/bytime.go
@@ -139,7 +139,7 @@
 	events := int(a.events.Load())
 	relativeError, ok := s.costs.Observe(cost.Observation{
 		Request:     a.cost,
-		Cached:      a.CacheSourceAddr == "",
+		Cached:      a.cached,
 		Speed:       float64(a.endpoint.reported.Speed) / percent,
 		Waited:      a.endpoint.reported.Waiting > 0 || a.endpoint.Capacity > 0 && a.Load > a.endpoint.Capacity,
 		PendingRead: a.pendingRead,
--- a/internal/control/contention.go
+++ b/internal/control/contention.go
@@ -38,14 +38,15 @@
 	}
 	goals := leastUrgentGoals(s.table.Config().Routes)
 	s.reportWorkspaces(now)
+	counts := s.peekPeerCounts(now)
 	for i := range s.table.Config().Services {
 		id := s.table.Config().Services[i].ID
-		if goals[id] == 0 {
-			continue // nothing says how long its requests may wait
+		hold := s.costs.ServiceTime(id)
+		if goals[id] == 0 || hold == 0 {
+			continue // nothing says how long its requests may wait, or do
 		}
-		load, slots := s.loadAndSlots(now, id)
+		load, slots := s.loadAndSlots(now, id, counts)
 		l := s.serviceLoadOf(id)
-		hold := s.costs.ServiceTime(id)
 		l.contention.Update(now, load, slots, hold, l.longestWait(hold, goals[id]))
 		s.logContention(now, id, l)
 		l.queueing = l.contention.Queueing(now)
@@ -114,7 +115,10 @@
 // reportWorkspaces reports the workspaces' requests in flight to peers while services are contended or queue requests, and for a
 // while after.
 func (s *State) reportWorkspaces(now boottime.Instant) {
-	if s.queuedAt == 0 || now.Sub(s.queuedAt) > workspaceReportPeriod {
+	if s.queuedAt == 0 {
+		return
+	}
+	if now.Sub(s.queuedAt) > workspaceReportPeriod {
 		s.SetWorkspaceLoads(nil)
 		return
 	}
@@ -140,9 +144,9 @@
 }
 
 // loadAndSlots returns the fleet's requests at the endpoints of a service that take requests at their usual rate, and
-// the sum of the slots there. Endpoints without a published number of slots are left out.
-func (s *State) loadAndSlots(now boottime.Instant, service fleet.ServiceID) (load float64, slots int) {
-	counts := s.peerCounts(now)
+// the sum of the slots there. Endpoints without a published number of slots are left out. The peers' counts come from
+// peekPeerCounts: peerCounts would keep those of this time for later placements, also when they have expired.
+func (s *State) loadAndSlots(now boottime.Instant, service fleet.ServiceID, counts map[uint32]int) (load float64, slots int) {
 	for _, e := range s.services[service] {
 		if e.Capacity <= 0 || !s.usable(now, e) || e.health.down || now.Before(e.coldStart.until) || now.Before(e.noRequestsUntil) {
 			continue
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -122,6 +122,7 @@
 	s.noteSuspicion(now, attempt)
 	s.crashes.detector.TraitsSent(now, req.Shares)
 	attempt.CacheSourceAddr = s.cacheSource(now, req.Affinity, e)
+	attempt.cached = req.Affinity != 0 && attempt.CacheSourceAddr == "" && now.Sub(e.incarnationKnownSince) >= cacheWarmupTime
 	e.attempts[attempt] = true
 	s.countWorkspace(attempt.workspace, 1)
 	s.promptSent(now, attempt, &w)
