contention: requests that would wait until their callers leave are rejected at once

Change: requests that are no more urgent than one that has waited for three quarters of its caller's patience, or has expired, within the last second are rejected with a Retry-After, but for one in ten.

--- a/internal/control/contention.go
+++ b/internal/control/contention.go
@@ -15,9 +15,10 @@
 // serviceLoad is what this process knows about the load of one service.
 type serviceLoad struct {
 	contention      *contention.Controller
-	queueLimit      float64          // load at which endpoints refuse requests, as a multiple of their slots; 0: not known
-	contended       bool             // as of the last tick
-	queueing        bool             // as of the last tick
+	queueLimit      float64 // load at which endpoints refuse requests, as a multiple of their slots; 0: not known
+	contended       bool    // as of the last tick
+	queueing        bool    // as of the last tick
+	expiries        contention.Expiries
 	speedReportedAt boottime.Instant // last report of a speed by an endpoint; 0: none
 }
 
@@ -50,6 +51,7 @@
 		l.contention.Update(now, load, slots, hold, l.longestWait(hold, goals[id]))
 		s.logContention(now, id, l)
 		l.queueing = l.contention.Queueing(now)
+		s.noteWaiting(now, id, l)
 		if l.contended || l.queueing {
 			s.queuedAt = now
 			l.contention.SetWorkspaceLoads(s.WorkspaceLoads(now))
@@ -191,6 +193,42 @@
 	return d
 }
 
+// rejectExpiring rejects a request that would wait at endpoints until its deadline or its caller's patience, as recent ones that
+// were as urgent did.
+func (s *State) rejectExpiring(now boottime.Instant, req *AdmissionRequest, ad *Admission) {
+	l := s.serviceLoads[ad.Service]
+	if l == nil || !l.queueing || req.Resumed || !l.expiries.Recent(now, ad.Priority) || !l.expiries.Reject(now, ad.Priority, s.rng.Float64()) {
+		return
+	}
+	ad.Reason, ad.Contention = ReasonContention, contention.ReasonDeadline
+	ad.RetryAfter = contention.ExpiryRetryAfter(ad.Timeout, s.rng.Float64())
+}
+
+// noteExpiry records that an attempt was cancelled. Without a start, its request may have waited for too long.
+func (s *State) noteExpiry(now boottime.Instant, a *Attempt) {
+	if l := s.serviceLoads[a.endpoint.Service]; l != nil && l.queueing && a.startedAt == 0 {
+		l.expiries.Note(now, a.priority, now.Sub(a.sentAt))
+	}
+}
+
+// noteWaiting records the attempts that have waited for most of their callers' patience, while their service queues requests. A new
+// request that is as urgent would wait for at least as long.
+func (s *State) noteWaiting(now boottime.Instant, service fleet.ServiceID, l *serviceLoad) {
+	if !l.queueing {
+		return
+	}
+	for _, e := range s.services[service] {
+		for a := range e.attempts {
+			if waited := now.Sub(a.sentAt); a.startedAt == 0 && float64(waited) >= longWaitFraction*float64(contention.Patience(a.goal.Latency, a.goal.EventGap)) {
+				l.expiries.Note(now, a.priority, waited)
+			}
+		}
+	}
+}
+
+// longWaitFraction is the fraction of its caller's patience after which the wait of an attempt counts as too long.
+const longWaitFraction = 0.75
+
 // contentionRequest returns what the decision under contention depends on. The workspace is nil if there is none.
 func contentionRequest(ad *Admission, w *routing.Workspace, callerTimeout, usualTimeLimit time.Duration) contention.Request {
 	r := contention.Request{
--- a/internal/control/result.go
+++ b/internal/control/result.go
@@ -88,6 +88,8 @@
 		e.health.avoidUntil = max(e.health.avoidUntil, now.Add(refusalAvoidInterval))
 	case Misdirected:
 		e.addrReused = true
+	case Cancelled:
+		s.noteExpiry(now, a)
 	}
 }
 
