--- a/internal/contention/expiry.go
+++ b/internal/contention/expiry.go
@@ -16,12 +16,6 @@
 	expiryProbeFraction = 0.1
 )
 
-// Patience returns how long a caller waits for the first event, given the latency goal and the goal for pauses of its route.
-func Patience(goal, pauseGoal time.Duration) time.Duration {
-	opts := DefaultOptions()
-	return max(opts.MinPatience, time.Duration(opts.PatiencePer)*goal, time.Duration(opts.PatiencePause)*pauseGoal)
-}
-
 // Expiries remembers the requests that waited in endpoint queues until their callers left or their deadlines passed, by
 // their priority at endpoints. The load it addresses: urgent requests take all slots, so that less urgent ones never start.
 // The utilization does not show that, because it does not tell who waits.
@@ -29,7 +23,7 @@
 	last map[int]boottime.Instant // by priority; 0 is the most urgent
 }
 
-// Note records that a request has waited for so long that its caller leaves, or nearly, without a start.
+// Note records that a request ended without a start after a wait.
 func (e *Expiries) Note(now boottime.Instant, priority int, waited time.Duration) {
 	if waited < minExpiredWait {
 		return
--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -31,8 +31,7 @@
 	EndpointUnreachable <-chan struct{} // closed when a connection attempt to the endpoint times out
 
 	cost                cost.Request
-	priority            int // as sent to the endpoint
-	goal                cost.Goal
+	priority            int           // as sent to the endpoint
 	workspace           uint32        // shortWorkspaceID
 	cached              bool          // the prompt's shared prefix was assumed to be cached
 	pendingRead         time.Duration // prefill time that was outstanding at the endpoint before the attempt
@@ -64,7 +63,6 @@
 
 		cost:                req.Cost,
 		priority:            req.Goal.Priority,
-		goal:                req.Goal,
 		workspace:           shortWorkspaceID(req.Workspace),
 		pendingRead:         s.backlog.tracker.Endpoint(now, e.shortID()).PendingRead,
 		version:             e.version,
--- a/internal/control/contention.go
+++ b/internal/control/contention.go
@@ -51,7 +51,6 @@
 		l.contention.Update(now, load, slots, hold, l.longestWait(hold, goals[id]))
 		s.logContention(now, id, l)
 		l.queueing = l.contention.Queueing(now)
-		s.noteWaiting(now, id, l)
 		if l.contended || l.queueing {
 			s.queuedAt = now
 			l.contention.SetWorkspaceLoads(s.WorkspaceLoads(now))
@@ -211,24 +210,6 @@
 	}
 }
 
-// noteWaiting records the attempts that have waited for most of their callers' patience, while their service queues requests. A new
-// request that is as urgent would wait for at least as long.
-func (s *State) noteWaiting(now boottime.Instant, service fleet.ServiceID, l *serviceLoad) {
-	if !l.queueing {
-		return
-	}
-	for _, e := range s.services[service] {
-		for a := range e.attempts {
-			if waited := now.Sub(a.sentAt); a.startedAt == 0 && float64(waited) >= longWaitFraction*float64(contention.Patience(a.goal.Latency, a.goal.EventGap)) {
-				l.expiries.Note(now, a.priority, waited)
-			}
-		}
-	}
-}
-
-// longWaitFraction is the fraction of its caller's patience after which the wait of an attempt counts as too long.
-const longWaitFraction = 0.75
-
 // contentionRequest returns what the decision under contention depends on. The workspace is nil if there is none.
 func contentionRequest(ad *Admission, w *routing.Workspace, callerTimeout, usualTimeLimit time.Duration) contention.Request {
 	r := contention.Request{
