ingress: no Retry-After above a third of the caller's time left

Cause: only refusals for contention were limited; other ones, for example for endpoints that are down (525 to 875 ms), could name more time than a caller with a short limit waits. Change: respondNotRun limits every Retry-After to a third of the time left.

--- a/internal/ingress/ended_test.go
+++ b/internal/ingress/ended_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/control"
@@ -28,6 +30,19 @@
 	}
 }
 
+// TestRetryAfterWithinTheTimeLeft guards against a Retry-After of more than a third of the time that the caller has left, for which
+// it would not wait.
+func TestRetryAfterWithinTheTimeLeft(t *testing.T) {
+	ts := startTestServer(t, nil)
+	ts.server.control = endedControl{}
+	const limit = 150 * time.Millisecond // a third of it is less than endedRetryAfter
+	got := ts.send("GET", "idempotent", "", "X-Wait-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
+	after, err := time.ParseDuration(got.header.Get("Retry-After") + "s")
+	if got.status != http.StatusServiceUnavailable || err != nil || after > limit/3 {
+		t.Errorf("status %d, Retry-After %v, %v, want 503 with at most a third of %v", got.status, after, err, limit)
+	}
+}
+
 // admittingControl is a Control whose event loop ends after it has admitted a request.
 type admittingControl struct{ next Control }
 
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -18,6 +18,18 @@
 	return 200*time.Millisecond + rand.N(100*time.Millisecond)
 }
 
+// retryTimeShare is the most of its remaining time that a caller waits before it returns.
+const retryTimeShare = 1.0 / 3
+
+// limitRetryAfter returns a Retry-After delay, or less if the caller would not wait for so long.
+func (c *call) limitRetryAfter(d time.Duration) time.Duration {
+	left := time.Until(c.deadline)
+	if c.meta.CallerTimeout > 0 { // a request that is rejected before it has a route has the default deadline
+		left = min(left, time.Until(c.arrivedAt.Add(c.meta.CallerTimeout)))
+	}
+	return min(d, max(time.Duration(retryTimeShare*float64(left)), 0))
+}
+
 // reject sends an error response to a request that would fail again if it were retried unchanged.
 func (c *call) reject(status int, detail string) {
 	event.LogFields(event.RequestRejected, "request", c.meta.ID, "status", status, "why", detail, "host", c.r.Host,
@@ -37,6 +49,7 @@
 		c.reject(http.StatusUnauthorized, "unknown key")
 		return
 	}
+	after = c.limitRetryAfter(after)
 	if reason == control.ReasonNoConfig {
 		event.LogFields(event.ConfigUnknown, "request", c.meta.ID)
 	}
