control: findings of the review of contention and placement by time

- Requests without a workspace had no share and displaced those of workspaces: they share one now.
- Requests in flight of workspaces are counted by service; before, streams at one service counted against a workspace at another.
- Queueing and contention end for a service that loses its latency goal or leaves the configuration, and its state goes.
- The usual time limit of a route is at most the route's own; a resumed stream is known by Resumes, too, and only on routes of streams; absurd loads of endpoints are ignored; peers' counts and backlogs expire without a message; speed and waiting count as of the response's head; errors on streaming routes teach no cost.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -131,9 +131,6 @@
 	if d.AboveShare {
 		ad.Priority = s.table.Priority(s.table.WorkspaceByID(ad.Workspace), ad.Route, true)
 	}
-	if d.Admitted {
-		s.rejectExpiring(now, &req, &ad)
-	}
 	return ad
 }
 
--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -31,8 +31,9 @@
 	EndpointUnreachable <-chan struct{} // closed when a connection attempt to the endpoint times out
 
 	cost                cost.Request
-	priority            int           // as sent to the endpoint
-	workspace           uint32        // shortWorkspaceID
+	report              reportedLoad  // first one with the response
+	stream              bool          // its route has streams
+	workspace           uint32        // workspaceKey
 	cached              bool          // the prompt's shared prefix was assumed to be cached
 	pendingRead         time.Duration // prefill time that was outstanding at the endpoint before the attempt
 	version             origin.Version
@@ -62,8 +63,8 @@
 		EndpointUnreachable: unreachable,
 
 		cost:                req.Cost,
-		priority:            req.Goal.Priority,
-		workspace:           shortWorkspaceID(req.Workspace),
+		stream:              req.Goal.EventGap > 0,
+		workspace:           workspaceKey(e.Service, req.Workspace),
 		pendingRead:         s.backlog.tracker.Endpoint(now, e.shortID()).PendingRead,
 		version:             e.version,
 		entryCertain:        s.entryCertain(e),
--- a/internal/control/backlog.go
+++ b/internal/control/backlog.go
@@ -14,18 +14,23 @@
 // and its peers know them.
 type fleetBacklog struct {
 	tracker        *backlog.Tracker
+	refreshedAt    boottime.Instant
 	stale          bool           // a peer's status has arrived since the last refresh
 	ownWorkspaces  map[uint32]int // as set by SetWorkspaceLoads
 	peerWorkspaces map[uint32]int
 }
 
+// backlogRefreshInterval is the time after which what peers have reported is read again although none has sent anything: it
+// expires.
+const backlogRefreshInterval = time.Second
+
 // refreshBacklog takes in what peers have reported.
 func (s *State) refreshBacklog(now boottime.Instant) {
 	b := &s.backlog
-	if !b.stale {
+	if !b.stale && now.Sub(b.refreshedAt) < backlogRefreshInterval {
 		return
 	}
-	b.stale = false
+	b.stale, b.refreshedAt = false, now
 	reported := s.mesh.Backlog(now)
 	addPeerBacklog(now, b.tracker, &reported)
 	b.peerWorkspaces = reported.Workspaces
--- a/internal/control/bytime.go
+++ b/internal/control/bytime.go
@@ -137,11 +137,14 @@
 		return
 	}
 	events := int(a.events.Load())
+	if a.stream && events == 0 {
+		return // an error, which tells nothing about the cost
+	}
 	relativeError, ok := s.costs.Observe(cost.Observation{
 		Request:     a.cost,
 		Cached:      a.cached,
-		Speed:       float64(a.endpoint.reported.Speed) / percent,
-		Waited:      a.endpoint.reported.Waiting > 0 || a.endpoint.Capacity > 0 && a.Load > a.endpoint.Capacity,
+		Speed:       float64(a.report.Speed) / percent,
+		Waited:      a.report.Waiting > 0 || a.endpoint.Capacity > 0 && a.Load > a.endpoint.Capacity,
 		PendingRead: a.pendingRead,
 		First:       a.startedAt.Sub(a.sentAt),
 		Total:       now.Sub(a.sentAt),
--- a/internal/control/contention.go
+++ b/internal/control/contention.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
@@ -15,10 +16,11 @@
 // serviceLoad is what this process knows about the load of one service.
 type serviceLoad struct {
 	contention      *contention.Controller
-	queueLimit      float64 // load at which endpoints refuse requests, as a multiple of their slots; 0: not known
-	contended       bool    // as of the last tick
-	queueing        bool    // as of the last tick
-	expiries        contention.Expiries
+	queueLimit      float64          // load at which endpoints refuse requests, as a multiple of their slots; 0: not known
+	contended       bool             // as of the last tick
+	queueing        bool             // as of the last tick
+	queuedAt        boottime.Instant // when it was last contended or queued requests; 0: never
+	inFlight        map[uint32]int   // attempts of this process by workspace, see workspaceKey
 	speedReportedAt boottime.Instant // last report of a speed by an endpoint; 0: none
 }
 
@@ -26,7 +28,7 @@
 func (s *State) serviceLoadOf(service fleet.ServiceID) *serviceLoad {
 	l := s.serviceLoads[service]
 	if l == nil {
-		l = &serviceLoad{contention: contention.New(s.opts.RandomSeed ^ fleet.Hash(string(service)))}
+		l = &serviceLoad{contention: contention.New(s.opts.RandomSeed ^ fleet.Hash(string(service))), inFlight: map[uint32]int{}}
 		s.serviceLoads[service] = l
 	}
 	return l
@@ -38,22 +40,22 @@
 		return
 	}
 	goals := leastUrgentGoals(s.table.Config().Routes)
+	counts := s.mesh.InFlight(now) // not those kept for placements, which have no age
 	s.reportWorkspaces(now)
-	counts := s.peekPeerCounts(now)
-	for i := range s.table.Config().Services {
-		id := s.table.Config().Services[i].ID
-		hold := s.costs.ServiceTime(id)
-		if goals[id] == 0 || hold == 0 {
-			continue // nothing says how long its requests may wait, or do
+	for _, id := range slices.Sorted(maps.Keys(s.serviceLoads)) {
+		l := s.serviceLoads[id]
+		if hold := s.costs.ServiceTime(id); goals[id] > 0 && hold > 0 { // otherwise nothing says how long its requests may wait, or do
+			load, slots := s.loadAndSlots(now, id, counts)
+			l.contention.Update(now, load, slots, hold, l.longestWait(hold, goals[id]))
 		}
-		load, slots := s.loadAndSlots(now, id, counts)
-		l := s.serviceLoadOf(id)
-		l.contention.Update(now, load, slots, hold, l.longestWait(hold, goals[id]))
 		s.logContention(now, id, l)
 		l.queueing = l.contention.Queueing(now)
 		if l.contended || l.queueing {
-			s.queuedAt = now
-			l.contention.SetWorkspaceLoads(s.WorkspaceLoads(now))
+			l.queuedAt = now
+			l.contention.SetWorkspaceLoads(s.workspaceLoadsOf(now, id))
+		}
+		if len(l.inFlight) == 0 && s.table.Service(id) == nil && len(s.services[id]) == 0 {
+			delete(s.serviceLoads, id)
 		}
 	}
 }
@@ -64,6 +66,8 @@
 	goalWaitFraction = 0.75
 	// queueFillFraction is the fraction of the load at which endpoints refuse requests up to which they are filled.
 	queueFillFraction = 0.85
+	// maxQueueLimit is the highest such load, as a multiple of the slots, that is believed.
+	maxQueueLimit = 100
 	// queueLimitWeight is the weight of the newest refusal in the moving average of that load.
 	queueLimitWeight = 0.1
 )
@@ -84,7 +88,7 @@
 		return
 	}
 	l := s.serviceLoadOf(e.Service)
-	level := float64(load) / float64(e.Capacity)
+	level := min(float64(load)/float64(e.Capacity), maxQueueLimit)
 	if l.queueLimit == 0 {
 		l.queueLimit = level
 	}
@@ -113,40 +117,56 @@
 // come and go do not make the fleet's sums incomplete.
 const workspaceReportPeriod = 5 * time.Second
 
-// reportWorkspaces reports the workspaces' requests in flight to peers while services are contended or queue requests, and for a
-// while after.
+// reportWorkspaces reports the workspaces' requests in flight at services that are contended or queue requests to peers, and for
+// a while after.
 func (s *State) reportWorkspaces(now boottime.Instant) {
-	if s.queuedAt == 0 {
-		return
+	var loads map[uint32]int
+	for _, l := range s.serviceLoads {
+		if l.queuedAt == 0 || now.Sub(l.queuedAt) > workspaceReportPeriod {
+			continue
+		}
+		if loads == nil {
+			loads = map[uint32]int{}
+		}
+		maps.Copy(loads, l.inFlight)
 	}
-	if now.Sub(s.queuedAt) > workspaceReportPeriod {
-		s.SetWorkspaceLoads(nil)
-		return
+	if loads != nil || s.reportsWorkspaces {
+		s.SetWorkspaceLoads(loads)
 	}
-	s.SetWorkspaceLoads(maps.Clone(s.workspaceInFlight))
+	s.reportsWorkspaces = loads != nil
 }
 
-// countWorkspace adds n to the requests in flight of a workspace, 0: none.
-func (s *State) countWorkspace(workspace uint32, n int) {
-	if workspace == 0 {
-		return
+// workspaceLoadsOf returns the fleet's requests in flight at a service by workspace.
+func (s *State) workspaceLoadsOf(now boottime.Instant, service fleet.ServiceID) map[uint32]int {
+	all, loads := s.WorkspaceLoads(now), map[uint32]int{}
+	note := func(id fleet.WorkspaceID) {
+		key := workspaceKey(service, id)
+		if n := all[key]; n > 0 {
+			loads[key] = n
+		}
 	}
-	if s.workspaceInFlight[workspace] += n; s.workspaceInFlight[workspace] <= 0 {
-		delete(s.workspaceInFlight, workspace)
+	note("")
+	for i := range s.table.Config().Workspaces {
+		note(s.table.Config().Workspaces[i].ID)
 	}
+	return loads
 }
 
-// shortWorkspaceID is the form of a workspace's ID in messages to peers, 0 for none.
-func shortWorkspaceID(id fleet.WorkspaceID) uint32 {
-	if id == "" {
-		return 0
+// countWorkspace adds n to the requests in flight of an attempt's workspace.
+func (s *State) countWorkspace(a *Attempt, n int) {
+	inFlight := s.serviceLoadOf(a.endpoint.Service).inFlight
+	if inFlight[a.workspace] += n; inFlight[a.workspace] <= 0 {
+		delete(inFlight, a.workspace)
 	}
-	return uint32(fleet.Hash(string(id)))
+}
+
+// workspaceKey is the form of a workspace's ID at a service in messages to peers. Requests without a workspace share one.
+func workspaceKey(service fleet.ServiceID, id fleet.WorkspaceID) uint32 {
+	return uint32(fleet.Weight(fleet.Hash(string(id)), fleet.Hash(string(service))))
 }
 
 // loadAndSlots returns the fleet's requests at the endpoints of a service that take requests at their usual rate, and
-// the sum of the slots there. Endpoints without a published number of slots are left out. The peers' counts come from
-// peekPeerCounts: peerCounts would keep those of this time for later placements, also when they have expired.
+// the sum of the slots there. Endpoints without a published number of slots are left out.
 func (s *State) loadAndSlots(now boottime.Instant, service fleet.ServiceID, counts map[uint32]int) (load float64, slots int) {
 	for _, e := range s.services[service] {
 		if e.Capacity <= 0 || !s.usable(now, e) || e.health.down || now.Before(e.coldStart.until) || now.Before(e.noRequestsUntil) {
@@ -183,45 +203,24 @@
 // is done.
 func (s *State) admitUnderContention(now boottime.Instant, req *AdmissionRequest, ad *Admission) contention.Decision {
 	l := s.serviceLoadOf(ad.Service)
-	s.noteTimeLimit(now, ad.Route, req.CallerTimeout)
-	r := contentionRequest(ad, s.table.Workspace(req.APIKey), req.CallerTimeout, s.usualTimeLimit(now, ad.Route, req.CallerTimeout))
+	s.noteTimeLimit(now, ad.Route, ad.Timeout)
+	r := contentionRequest(ad, s.table.Workspace(req.APIKey), s.usualTimeLimit(now, ad.Route, ad.Timeout))
 	d := l.contention.Admit(now, r)
-	if req.Resumed {
+	if req.Resumed && ad.Route.Kind == routing.Streaming {
 		d.Admitted = true
 	}
 	return d
 }
 
-// rejectExpiring rejects a request that would wait at endpoints until its deadline or its caller's patience, as recent ones that
-// were as urgent did.
-func (s *State) rejectExpiring(now boottime.Instant, req *AdmissionRequest, ad *Admission) {
-	l := s.serviceLoads[ad.Service]
-	if l == nil || !l.queueing || req.Resumed || !l.expiries.Recent(now, ad.Priority) || !l.expiries.Reject(now, ad.Priority, s.rng.Float64()) {
-		return
-	}
-	ad.Reason, ad.Contention = ReasonContention, contention.ReasonDeadline
-	ad.RetryAfter = contention.ExpiryRetryAfter(ad.Timeout, s.rng.Float64())
-}
-
-// noteExpiry records that an attempt was cancelled. Without a start, its request may have waited for too long.
-func (s *State) noteExpiry(now boottime.Instant, a *Attempt) {
-	if l := s.serviceLoads[a.endpoint.Service]; l != nil && l.queueing && a.startedAt == 0 {
-		l.expiries.Note(now, a.priority, now.Sub(a.sentAt))
-	}
-}
-
 // contentionRequest returns what the decision under contention depends on. The workspace is nil if there is none.
-func contentionRequest(ad *Admission, w *routing.Workspace, callerTimeout, usualTimeLimit time.Duration) contention.Request {
+func contentionRequest(ad *Admission, w *routing.Workspace, usualTimeLimit time.Duration) contention.Request {
 	r := contention.Request{
 		RoutePriority:  ad.Route.Priority,
 		TimeLeft:       ad.Timeout,
 		UsualTimeLimit: usualTimeLimit,
 		Goal:           ad.Route.GoalLatency,
 		PauseGoal:      ad.Route.GoalEventGap,
-		Workspace:      shortWorkspaceID(ad.Workspace),
-	}
-	if callerTimeout > 0 {
-		r.TimeLeft = callerTimeout
+		Workspace:      workspaceKey(ad.Service, ad.Workspace),
 	}
 	if w != nil && w.HasPriority {
 		r.WorkspacePriority, r.HasWorkspacePriority = w.Priority, true
@@ -242,7 +241,8 @@
 	periodStart       boottime.Instant
 }
 
-// noteTimeLimit records the time limit of a caller's request.
+// noteTimeLimit records the time limit of a request, which is at most its route's: one caller that gives a longer one must not make
+// the others look as if they returned.
 func (s *State) noteTimeLimit(now boottime.Instant, r *routing.Route, limit time.Duration) {
 	l := s.timeLimits[r.Name]
 	if l == nil {
--- a/internal/control/contention_queue_test.go
+++ b/internal/control/contention_queue_test.go
@@ -76,7 +76,7 @@
 		}
 	}
 	q.run(30*time.Second, 1, 0, within)
-	if q.queuedAt != 0 || q.backlog.ownWorkspaces != nil {
+	if q.serviceLoadOf("s").queuedAt != 0 || q.backlog.ownWorkspaces != nil {
 		t.Error("workspaces are reported without queues")
 	}
 	q.load = 24
--- a/internal/control/explainload.go
+++ b/internal/control/explainload.go
@@ -25,7 +25,7 @@
 	if l == nil {
 		return Placement{}
 	}
-	r := contentionRequest(ad, s.table.WorkspaceByID(req.Workspace), req.CallerTimeout, s.usualTimeLimit(now, ad.Route, req.CallerTimeout))
+	r := contentionRequest(ad, s.table.WorkspaceByID(req.Workspace), s.usualTimeLimit(now, ad.Route, ad.Timeout))
 	p := l.contention.Peek(now, r)
 	if !p.Contended {
 		return Placement{}
--- a/internal/control/explainload_test.go
+++ b/internal/control/explainload_test.go
@@ -65,12 +65,13 @@
 		at := now.Add(-late - time.Duration(ticks-i)*40*time.Millisecond)
 		c.Update(at, utilization*100, 100, 900*time.Millisecond, 200*time.Millisecond)
 		if r.IntN(2) == 0 {
-			c.SetWorkspaceLoads(map[uint32]int{shortWorkspaceID("w"): 60, 1: 20, 2: 20})
+			c.SetWorkspaceLoads(map[uint32]int{workspaceKey("s", "w"): 60, 1: 20, 2: 20})
 		}
 		for range r.IntN(3) {
 			limit := time.Duration(1+r.IntN(3000)) * time.Millisecond
 			s.noteTimeLimit(at, ad.Route, limit)
-			q := contentionRequest(&ad, s.table.WorkspaceByID("w"), limit, s.usualTimeLimit(at, ad.Route, limit))
+			ad.Timeout = limit
+			q := contentionRequest(&ad, s.table.WorkspaceByID("w"), s.usualTimeLimit(at, ad.Route, limit))
 			if r.IntN(2) == 0 {
 				q.Workspace = r.Uint32N(20)
 			}
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -20,6 +20,10 @@
 // loadReportTTL is how long an endpoint's own load report is used.
 const loadReportTTL = 500 * time.Millisecond
 
+// maxReportedLoad is the largest number of running or waiting requests that is believed of an endpoint; a report of more has
+// none.
+const maxReportedLoad = 10_000
+
 // LoadReport is the number of running and waiting requests, and the speed, that an endpoint reports with its
 // responses.
 type LoadReport struct {
@@ -36,6 +40,12 @@
 
 // ReportLoad records the load and the speed that an endpoint reported with a response.
 func (s *State) ReportLoad(now boottime.Instant, a *Attempt, report LoadReport) {
+	if report.Running > maxReportedLoad || report.Waiting > maxReportedLoad {
+		report.Running, report.Waiting = 0, 0
+	}
+	if a.report.at == 0 {
+		a.report = reportedLoad{LoadReport: report, at: now}
+	}
 	a.endpoint.reported = reportedLoad{LoadReport: report, at: now}
 	s.noteSpeedReport(now, a.endpoint, report.Speed)
 	s.reportSpeed(now, a.endpoint, report.Speed)
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -124,7 +124,7 @@
 	attempt.CacheSourceAddr = s.cacheSource(now, req.Affinity, e)
 	attempt.cached = req.Affinity != 0 && attempt.CacheSourceAddr == "" && now.Sub(e.incarnationKnownSince) >= cacheWarmupTime
 	e.attempts[attempt] = true
-	s.countWorkspace(attempt.workspace, 1)
+	s.countWorkspace(attempt, 1)
 	s.promptSent(now, attempt, &w)
 	return Placement{Attempt: attempt}
 }
--- a/internal/control/result.go
+++ b/internal/control/result.go
@@ -64,7 +64,7 @@
 	}
 	delete(e.attempts, a)
 	e.inFlight--
-	s.countWorkspace(a.workspace, -1)
+	s.countWorkspace(a, -1)
 	s.backlog.tracker.Ended(now, a)
 	s.peerLoads.statusVersion++
 	switch r {
@@ -88,8 +88,6 @@
 		e.health.avoidUntil = max(e.health.avoidUntil, now.Add(refusalAvoidInterval))
 	case Misdirected:
 		e.addrReused = true
-	case Cancelled:
-		s.noteExpiry(now, a)
 	}
 }
 
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -73,8 +73,7 @@
 	retrySuccessRates      map[fleet.ServiceID]float64 // moving average of the success of retries after endpoints' own failures
 	costs                  *cost.Model
 	serviceLoads           map[fleet.ServiceID]*serviceLoad
-	workspaceInFlight      map[uint32]int              // attempts of this process, by shortWorkspaceID
-	queuedAt               boottime.Instant            // when a service was last contended or queued requests; 0: never
+	reportsWorkspaces      bool                        // to peers, see reportWorkspaces
 	timeLimits             map[string]*callerTimeLimit // of callers, by route
 	outliersCheckedAt      boottime.Instant
 	loggedAggregators      []fleet.InstanceID
@@ -103,7 +102,6 @@
 		retrySuccessRates:      map[fleet.ServiceID]float64{},
 		costs:                  cost.New(),
 		serviceLoads:           map[fleet.ServiceID]*serviceLoad{},
-		workspaceInFlight:      map[uint32]int{},
 		timeLimits:             map[string]*callerTimeLimit{},
 	}
 }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -93,7 +93,7 @@
 			APIKey:        c.meta.Key,
 			CallerTimeout: c.meta.CallerTimeout,
 			Affinity:      c.affinityKey,
-			Resumed:       c.meta.LastEventID != "",
+			Resumed:       c.meta.LastEventID != "" || c.meta.Resumes != "",
 		})
 	})
 	admission := &c.admission
