--- a/internal/control/contention_queue_test.go
+++ b/internal/control/contention_queue_test.go
@@ -115,3 +115,52 @@
 		t.Error("workspaces are reported without queues")
 	}
 }
+
+// TestQueueingEndsWithTheConfiguration guards against a service that counts as queueing or contended for good because the
+// configuration takes its latency goal, or the service itself, away meanwhile.
+func TestQueueingEndsWithTheConfiguration(t *testing.T) {
+	q := newQueueingService(t)
+	ignoreAdmission := func(int, Admission) {}
+	q.load = 16
+	q.run(2*time.Second, 1, 0, ignoreAdmission)
+	q.load = 24
+	q.run(2*time.Second, 8, 3, ignoreAdmission)
+	if !q.serviceLoadOf("s").queueing {
+		t.Fatal("the service does not queue requests")
+	}
+	withoutGoal := *q.table.Config()
+	withoutGoal.Routes = []routing.Route{withoutGoal.Routes[0]}
+	withoutGoal.Routes[0].GoalLatency = 0
+	q.table = routing.NewTable(&withoutGoal)
+	q.run(3*time.Second, 8, 0, ignoreAdmission)
+	if l := q.serviceLoadOf("s"); l.queueing || l.contended {
+		t.Errorf("queueing %t, contended %t without a goal", l.queueing, l.contended)
+	}
+	q.table = routing.NewTable(&routing.Config{Version: 3})
+	q.services["s"] = nil
+	q.tickContention(q.now)
+	if len(q.serviceLoads) != 0 {
+		t.Error("the state of a removed service is kept")
+	}
+}
+
+// TestRequestsWithoutAWorkspaceShareOne guards against requests without a key that count for no share and displace workspaces, and
+// against streams at one service that count against a workspace at another.
+func TestRequestsWithoutAWorkspaceShareOne(t *testing.T) {
+	keys := map[uint32]bool{workspaceKey("a", ""): true, workspaceKey("a", "w"): true, workspaceKey("b", "w"): true, workspaceKey("b", ""): true}
+	if len(keys) != 4 || keys[0] {
+		t.Errorf("keys %v", keys)
+	}
+	q := newQueueingService(t)
+	q.table.Config().Routes[0].Public = true
+	p := q.Place(q.now, PlacementRequest{Service: "s"})
+	q.serviceLoadOf("s").queuedAt = q.now
+	q.reportWorkspaces(q.now)
+	if n := q.workspaceLoadsOf(q.now, "s")[workspaceKey("s", "")]; n != 1 {
+		t.Errorf("%d requests without a workspace, want 1", n)
+	}
+	q.AttemptEnded(q.now, p.Attempt, Cancelled)
+	if n := len(q.serviceLoadOf("s").inFlight); n != 0 {
+		t.Errorf("%d workspaces have requests in flight after their end", n)
+	}
+}
