callerconn: tell the background read from a body's read of one byte

The buffer of net/http's body reader can have room for a single byte. A chunked request whose chunk size fills the buffer was then taken for a complete one, and its connection was never closed for others.

--- a/internal/callerconn/budget.go
+++ b/internal/callerconn/budget.go
@@ -106,6 +106,7 @@
 	defer c.mu.Unlock()
 	c.incoming.body = reading
 	if reading {
+		c.incoming.bodyEnded = false // a reader with one byte of room is no background read
 		c.incoming.progress = time.Now()
 		return
 	}
--- a/internal/callerconn/budget_test.go
+++ b/internal/callerconn/budget_test.go
@@ -211,3 +211,26 @@
 		}
 	}
 }
+
+// TestIncompleteChunkSizeMakesRoom guards against a connection that is never closed because its reader has room for one byte only, like
+// net/http's background read: the line with the size of a chunk fills the reader's buffer up to its last byte.
+func TestIncompleteChunkSizeMakesRoom(t *testing.T) {
+	result := make(chan error, 1)
+	s := startBudgeted(t, 1, nil, TrackBody(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		result <- err
+	})).ServeHTTP)
+	incomplete := s.dial()
+	incomplete.send(t, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("0", 4095))
+	time.Sleep(50 * time.Millisecond)
+	s.dial()
+	select {
+	case err := <-result:
+		if !errors.Is(err, ErrMemory) {
+			t.Errorf("error %v of the incomplete body", err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Fatal("the incomplete body is not closed for a new connection")
+	}
+	s.awaitClosed(Connections, 1)
+}
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -70,7 +70,7 @@
 
 // SetReadDeadline implements net.Conn. The server sets the deadline when it begins to wait for a request, when it has
 // enough bytes of a head, which may have been buffered behind the request before (not for the first request), and when the
-// head is complete.
+// head is complete. It removes the deadline immediately before its background read, which follows the body.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -82,6 +82,9 @@
 		c.incoming.begin(c.since)
 	default:
 		c.incoming.head = false
+		if t.IsZero() {
+			c.incoming.bodyEnded = true
+		}
 	}
 	c.deadline = t
 	return c.applyDeadline()
@@ -128,7 +131,7 @@
 	if c.incoming.head && c.incoming.bytes >= c.listener.limits.headBytes() {
 		return HeadTooLarge
 	}
-	c.incoming.watch = len(p) == 1 && !c.incoming.head
+	c.incoming.watch = len(p) == 1 && c.incoming.bodyEnded
 	c.reading = true
 	if c.readDeadline() != c.applied {
 		_ = c.applyDeadline() // fails only if the connection is closed
--- a/internal/callerconn/incoming.go
+++ b/internal/callerconn/incoming.go
@@ -28,14 +28,15 @@
 // incoming is what has arrived of a request. net/http reads from a connection only when it has used up what it has read, so all
 // bytes before a read of a head belong to that unfinished head.
 type incoming struct {
-	head     bool      // the head is not complete
-	body     bool      // the head is, the body is being read
-	watch    bool      // the read is that of one byte by which net/http notices, after the body, that the caller leaves
-	early    bool      // the first byte of the next request was read while this one ran
-	refused  Reason    // why the rest is not read, 0 if it is
-	bytes    int       // of the head
-	began    time.Time // arrival of the first byte of the head, zero before it
-	progress time.Time // the last arrival
+	head      bool      // the head is not complete
+	body      bool      // the head is, the body is being read
+	bodyEnded bool      // the server has removed the read deadline after the head, and after BeginBody if there is a body
+	watch     bool      // the read is that of one byte by which net/http notices, after the body, that the caller leaves
+	early     bool      // the first byte of the next request was read while this one ran
+	refused   Reason    // why the rest is not read, 0 if it is
+	bytes     int       // of the head
+	began     time.Time // arrival of the first byte of the head, zero before it
+	progress  time.Time // the last arrival
 
 	headCharge, bodyCharge, answerCharge int64 // of the memory budget
 }
