callerconn: close one connection for a new one, without lingering

An evicted connection kept its descriptor for 300 ms, or 500 ms in net/http after a large unread body, while the wait for it is 20 ms: further ones were closed for the same caller. A connection that makes progress after it was chosen is passed over, and the record of an earlier close no longer ends the wait.

A connection that is refused because its own bytes found no memory still lingers: its caller is sending, and a reset could destroy the answer.

--- a/internal/callerconn/budget_test.go
+++ b/internal/callerconn/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -234,3 +235,81 @@
 	}
 	s.awaitClosed(Connections, 1)
 }
+
+// TestOneConnectionIsClosedForANewOne guards against a closed connection that keeps its descriptor for a while, so that further ones are
+// closed for the same new connection. After a body of 1 MiB that was not read, net/http itself delays the close.
+func TestOneConnectionIsClosedForANewOne(t *testing.T) {
+	for _, length := range []string{"1000", "1048576"} {
+		t.Run(length, func(t *testing.T) {
+			const conns = 4
+			s := startBudgeted(t, conns, nil, TrackBody(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); err != nil {
+					LeaveUnread(r.Context())
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				answerOK(w, r)
+			})).ServeHTTP)
+			var incomplete [conns]*client
+			for i := range incomplete {
+				incomplete[i] = s.dial()
+				incomplete[i].send(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "+length+"\r\n\r\npart")
+				time.Sleep(5 * time.Millisecond)
+			}
+			s.awaitOpen(conns)
+			s.awaitReading()
+			c := s.dial()
+			c.send(t, request)
+			c.expectAnswer(t)
+			incomplete[0].expectStatus(t, http.StatusServiceUnavailable)
+			time.Sleep(maxEvictions * roomTimeout)
+			s.awaitClosed(Connections, 1)
+			if n := s.listener.Closed(Refused); n != 0 {
+				t.Errorf("%d new connections refused", n)
+			}
+		})
+	}
+}
+
+// TestEvictionTakesTheNext guards against a caller whose bytes arrive while connections are compared: it is not closed, and the
+// connection that is then the oldest is. The record of an earlier close must not end the wait for this one.
+func TestEvictionTakesTheNext(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NewListener(tcp.(*net.TCPListener))
+	defer l.Close()
+	var conns [2]*Conn
+	for i := range conns {
+		caller, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer caller.Close()
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns[i] = c.(*Conn)
+		conns[i].reading = true
+		conns[i].incoming.progress = time.Unix(int64(i), 0)
+	}
+	now := time.Now()
+	c, rank := l.oldest(Connections, now)
+	if c != conns[0] {
+		t.Fatal("the chosen connection is not the oldest")
+	}
+	c.incoming.progress = now
+	if c.askToEvict(Connections, rank, now) {
+		t.Error("a connection that has made progress was asked to close")
+	}
+	l.room <- struct{}{}
+	if !l.evict(Connections) || conns[0].asked != 0 || conns[1].asked != Connections {
+		t.Errorf("asked %v and %v, want none and %v", conns[0].asked, conns[1].asked, Connections)
+	}
+	if len(l.room) != 0 {
+		t.Error("the record of an earlier close was kept")
+	}
+}
--- a/internal/callerconn/close.go
+++ b/internal/callerconn/close.go
@@ -14,7 +14,8 @@
 	lingerShare = 4
 )
 
-// Close implements net.Conn. After an answer that did not wait for the end of its request, it returns before the connection is closed.
+// Close implements net.Conn. After an answer that did not wait for the end of its request, it returns before the connection is closed,
+// unless the connection was evicted.
 func (c *Conn) Close() error {
 	c.listener.remove(c)
 	first, linger := c.beginClose()
@@ -29,6 +30,21 @@
 	return nil
 }
 
+// CloseWrite ends the answer. net/http calls it half a second before Close if much of a body was not read; an evicted connection is
+// closed at once.
+func (c *Conn) CloseWrite() error {
+	if c.isEvicted() {
+		return c.Close()
+	}
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *Conn) isEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
 // beginClose reports whether Close is called for the first time, and whether the connection must linger.
 func (c *Conn) beginClose() (first, linger bool) {
 	c.mu.Lock()
@@ -36,7 +52,7 @@
 	first = !c.closing
 	c.closing = true
 	c.releaseCharge()
-	return first, c.unread
+	return first, c.unread && !c.evicted
 }
 
 // linger ends the answer, discards what still arrives of the request, and closes the connection.
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -33,6 +33,7 @@
 	limit     time.Duration // idle timeout for the decision on asked
 	unread    bool          // the answer in progress does not wait for the rest of the request's body
 	rejected  bool          // this package has answered; what the server still writes is dropped
+	evicted   bool          // closed for others, which need its descriptor or memory: it does not linger
 	closing   bool          // Close was called
 }
 
@@ -195,6 +196,7 @@
 	}
 	now := time.Now()
 	if why != 0 && Decide(c.state(), why, c.limit, now) == Close {
+		c.evicted = why == Connections || why == Memory
 		return true, why, 0
 	}
 	if !c.deadline.IsZero() && !now.Before(c.deadline) {
@@ -237,6 +239,11 @@
 	if !c.reading || Decide(c.state(), why, limit, now) != Close {
 		return false
 	}
+	return c.ask(why, limit)
+}
+
+// ask interrupts the reader. c.mu must be held.
+func (c *Conn) ask(why Reason, limit time.Duration) bool {
 	c.asked, c.limit = why, limit
 	return c.TCPConn.SetReadDeadline(interrupted) == nil
 }
--- a/internal/callerconn/room.go
+++ b/internal/callerconn/room.go
@@ -54,15 +54,31 @@
 func (l *Listener) evict(why Reason) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	select {
+	case <-l.room: // of an earlier close, which left no room
+	default:
+	}
 	now := time.Now()
-	var oldest *Conn
-	var least evictionRank
+	for range maxEvictions {
+		c, rank := l.oldest(why, now)
+		if c == nil {
+			return false
+		}
+		if c.askToEvict(why, rank, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// oldest returns the connection to evict and its rank, or nil if none may be closed. l.mu must be held.
+func (l *Listener) oldest(why Reason, now time.Time) (oldest *Conn, least evictionRank) {
 	for c := range l.conns {
 		if r, ok := c.evictionRank(why, now); ok && (oldest == nil || r.less(least)) {
 			oldest, least = c, r
 		}
 	}
-	return oldest != nil && oldest.askToClose(why, 0, now)
+	return oldest, least
 }
 
 // evictionRank orders connections that may be closed.
@@ -82,6 +98,11 @@
 func (c *Conn) evictionRank(why Reason, now time.Time) (evictionRank, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.evictionRankLocked(why, now)
+}
+
+// evictionRankLocked is evictionRank with c.mu held.
+func (c *Conn) evictionRankLocked(why Reason, now time.Time) (evictionRank, bool) {
 	if !c.reading || c.closing || c.asked != 0 || Decide(c.state(), why, 0, now) != Close {
 		return evictionRank{}, false
 	}
@@ -94,6 +115,16 @@
 	return evictionRank{progress: c.incoming.progress}, true
 }
 
+// askToEvict asks the connection to close unless its rank has changed, and reports whether it did.
+func (c *Conn) askToEvict(why Reason, rank evictionRank, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r, ok := c.evictionRankLocked(why, now); !ok || r != rank {
+		return false
+	}
+	return c.ask(why, 0)
+}
+
 // awaitRoom waits until a connection has been closed, but not beyond roomTimeout.
 func (l *Listener) awaitRoom() {
 	timer := time.NewTimer(roomTimeout)
