callerconn, ingress: an event is charged until it was sent

The largest event of a stream stayed charged until the end of its request, so that streams whose callers read them made other requests fail for lack of memory.

--- a/internal/callerconn/budget.go
+++ b/internal/callerconn/budget.go
@@ -116,14 +116,28 @@
 	}
 }
 
-// ChargeAnswer charges the n bytes of an answer, or of the part of it that is being written, until it is sent. A smaller part than
-// an earlier one adds nothing. ctx is the context of its request.
+// ChargeAnswer charges the n bytes of an answer, or of the part of it that is being written, until AnswerSent or the end of the
+// answer. Until then a smaller part than an earlier one adds nothing. ctx is the context of its request.
 func ChargeAnswer(ctx context.Context, n int64) {
 	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
 		c.chargeAnswer(n)
 	}
 }
 
+// AnswerSent releases the charge of the part of an answer that was sent. ctx is the context of its request.
+func AnswerSent(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.releaseAnswer()
+	}
+}
+
+func (c *Conn) releaseAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.release(c.incoming.answerCharge)
+	c.incoming.answerCharge = 0
+}
+
 // chargeAnswer may exceed the budget: the request has run. HasMemory then refuses others before they run.
 func (c *Conn) chargeAnswer(n int64) {
 	c.mu.Lock()
--- a/internal/callerconn/budget_test.go
+++ b/internal/callerconn/budget_test.go
@@ -153,6 +153,11 @@
 		if HasMemory(r.Context()) {
 			t.Error("128 KiB fit into 64 KiB")
 		}
+		AnswerSent(r.Context())
+		if !HasMemory(r.Context()) {
+			t.Error("an answer is charged after it was sent")
+		}
+		ChargeAnswer(r.Context(), 128<<10)
 		answerOK(w, r)
 	})
 	for range 3 {
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -212,6 +212,8 @@
 	if err != nil {
 		a.err, a.result = err, control.Cancelled
 		a.response.writeFailed(err)
+		return false
 	}
-	return err == nil
+	callerconn.AnswerSent(a.r.Context())
+	return true
 }
--- a/internal/ingress/budgets_test.go
+++ b/internal/ingress/budgets_test.go
@@ -174,3 +174,33 @@
 		}
 	}
 }
+
+// TestSentEventsAreNotCharged guards against a stream whose largest event stays charged until its end, although its caller has read it:
+// other requests would be refused.
+func TestSentEventsAreNotCharged(t *testing.T) {
+	memory := &callerconn.Budget{Bytes: 64 << 10}
+	release := make(chan struct{})
+	ts := startBudgeted(t, 0, memory, func(n int, c net.Conn, r *http.Request) {
+		if n > 1 {
+			writeCompleteResponse(c, "ok")
+			return
+		}
+		writeStreamHead(c)
+		writeChunk(c, "id: 1\ndata: "+strings.Repeat("x", 100<<10)+"\n\n")
+		<-release
+		writeChunk(c, eventText(2))
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	c := ts.dial()
+	c.send(t, rawRequest("idempotent", ""))
+	if _, err := io.ReadFull(c, make([]byte, 100<<10)); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(time.Second); memory.Used() > memory.Bytes && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if g := ts.send(http.MethodPost, "idempotent", ""); g.status != http.StatusOK {
+		t.Errorf("status %d, %v, with %d bytes charged after the event was read", g.status, g.err, memory.Used())
+	}
+	close(release)
+}
