callerconn, ingress: bound the charge of a body by its limit

The framing of chunks was charged like the body: one of 4 MiB in chunks of one byte was charged 24 MiB, and refused although little else was in memory.

--- a/internal/callerconn/budget.go
+++ b/internal/callerconn/budget.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// LimitBody records that at most maxBytes of the body of a request are kept, which bounds their charge. ctx is the context of the
+// request.
+func LimitBody(ctx context.Context, maxBytes int64) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.limitBody(maxBytes)
+	}
+}
+
+func (c *Conn) limitBody(maxBytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.incoming.maxCharge = maxBytes + bodySlack
+}
+
 // EndBody records that the body of a request was read, or will not be read. ctx is the context of the request.
 func EndBody(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
--- a/internal/callerconn/incoming.go
+++ b/internal/callerconn/incoming.go
@@ -23,6 +23,9 @@
 
 	// keptBodyBytes is how much of a complete body stays charged until the answer; beyond it, package bytebudget reserves.
 	keptBodyBytes = 64 << 10
+	// bodySlack is how much more than the limit on a body is charged, for what readers hold of it. The framing of small chunks is several
+	// times as long as the body, and is not kept.
+	bodySlack = 64 << 10
 )
 
 // incoming is what has arrived of a request. net/http reads from a connection only when it has used up what it has read, so all
@@ -37,6 +40,7 @@
 	bytes     int       // of the head
 	began     time.Time // arrival of the first byte of the head, zero before it
 	progress  time.Time // the last arrival
+	maxCharge int64     // for the body, 0: no bound
 
 	headCharge, bodyCharge, answerCharge int64 // of the memory budget
 }
@@ -54,13 +58,21 @@
 func (i *incoming) count(read []byte, now time.Time) int64 {
 	i.progress = now
 	if !i.head {
-		return int64(len(read))
+		return i.bodyCost(int64(len(read)))
 	}
 	i.begin(now)
 	i.bytes += len(read)
 	return int64(costPerHeadByte*len(read) + costPerHeadField*bytes.Count(read, newline))
 }
 
+// bodyCost returns the cost of n more bytes of a body.
+func (i *incoming) bodyCost(n int64) int64 {
+	if i.maxCharge > 0 {
+		return min(n, max(i.maxCharge-i.bodyCharge, 0))
+	}
+	return n
+}
+
 // charge charges a cost unless the budget has no room for it. c.mu must be held.
 func (c *Conn) charge(cost int64) bool {
 	b := c.listener.memory
--- a/internal/ingress/budgets_test.go
+++ b/internal/ingress/budgets_test.go
@@ -204,3 +204,18 @@
 	}
 	close(release)
 }
+
+// TestChunkedBodyIsChargedByItsLength guards against a body within the limit that is refused in calm because the framing of its small
+// chunks, which is not kept, counts as memory.
+func TestChunkedBodyIsChargedByItsLength(t *testing.T) {
+	const length = 256 << 10
+	memory := &callerconn.Budget{Bytes: length + 128<<10}
+	ts := startBudgeted(t, 0, memory, answerGood)
+	config := testConfig()
+	config.Limits.MaxBodyBytes = length
+	ts.publishLimits(config.Limits)
+	c := ts.dial()
+	c.send(t, strings.Replace(rawHead("idempotent", 0), "Content-Length: 0", "Transfer-Encoding: chunked", 1))
+	go func() { _, _ = io.WriteString(c, strings.Repeat("1\r\nx\r\n", length)+"0\r\n\r\n") }()
+	c.answerIn(t, 5*time.Second, http.StatusOK)
+}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -142,8 +142,10 @@
 	}
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline)
+	limit := requestBodyLimit(c.admission.BodyLimit)
+	callerconn.LimitBody(c.r.Context(), limit)
 	callerconn.BeginBody(c.r.Context())
-	body, err := c.s.memory.readRequest(c.w.ResponseWriter, c.r, c.admission.BodyLimit)
+	body, err := c.s.memory.readRequest(c.w.ResponseWriter, c.r, limit)
 	callerconn.EndBody(c.r.Context())
 	_ = rc.SetReadDeadline(time.Time{})
 	switch {
--- a/internal/ingress/memory.go
+++ b/internal/ingress/memory.go
@@ -45,15 +45,20 @@
 	s.memory.responses.Limit = int64(min(bodyShare, 1) * responseBudgetBytes)
 }
 
-// readRequest reads the body of a caller's request, of up to maxBytes if that is set. It is nil if
-// there is none. The errors of package bytebudget are returned unchanged.
+// requestBodyLimit returns the limit on the body of a request. published is 0 if there is none.
+func requestBodyLimit(published int64) int64 {
+	if published <= 0 {
+		return defaultMaxRequestBytes
+	}
+	return published
+}
+
+// readRequest reads the body of a caller's request, of up to maxBytes. It is nil if there is none. The errors of
+// package bytebudget are returned unchanged.
 func (m *memory) readRequest(w http.ResponseWriter, r *http.Request, maxBytes int64) (*bytebudget.Body, error) {
 	if r.Body == http.NoBody {
 		return nil, nil
 	}
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxRequestBytes
-	}
 	body, err := m.requests.Read(http.MaxBytesReader(w, r.Body, maxBytes), bytebudget.Bounds{
 		MaxBytes: maxBytes, FreeBytes: freeBodyBytes, Length: r.ContentLength,
 	})
