--- a/internal/callerconn/drain_test.go
+++ b/internal/callerconn/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -57,3 +58,32 @@
 	}
 	kept.expectClosed(t)
 }
+
+// TestDrainAwaitsAnswersOnTheirWay guards against a planned stop that ends the process while a connection still lingers, which resets it
+// and may destroy its answer. Such a connection has no request that could be cut off.
+func TestDrainAwaitsAnswersOnTheirWay(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"to the end": time.Minute, "bounded": lingerTime / 3} {
+		t.Run(name, func(t *testing.T) {
+			s := startServer(t, answerOK)
+			s.listener.SetLimits(Limits{HeadBytes: 1000})
+			c := s.dial()
+			c.send(t, "GET /"+strings.Repeat("x", 1000+headSlack))
+			c.expectStatus(t, http.StatusRequestHeaderFieldsTooLarge)
+			s.awaitOpen(0)
+			began := time.Now()
+			end := began.Add(wait)
+			if left := s.listener.Drain(time.Hour, end, end); left != 0 {
+				t.Errorf("%d requests left", left)
+			}
+			if took, want := time.Since(began), min(wait, lingerTime)/2; took < want || took > want+time.Second {
+				t.Errorf("took %v", took)
+			}
+			s.listener.mu.Lock()
+			open := s.listener.open
+			s.listener.mu.Unlock()
+			if wait > lingerTime && open != 0 {
+				t.Errorf("%d descriptors are open", open)
+			}
+		})
+	}
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -119,18 +119,18 @@
 	return n
 }
 
-// Len returns the number of open connections.
+// Len returns the number of open connections, without those that linger.
 func (l *Listener) Len() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.conns)
 }
 
-// idle reports whether no connection is open or just being accepted.
+// idle reports whether no connection is open, lingering or just being accepted.
 func (l *Listener) idle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.conns) == 0 && l.accepting == 0
+	return l.open == 0 && l.accepting == 0
 }
 
 // remove forgets a connection that begins to close.
