--- a/internal/callerconn/budget.go
+++ b/internal/callerconn/budget.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// LimitBody records that at most maxBytes of the body of a request are kept, which bounds their charge. ctx is the context of the
+// request.
+func LimitBody(ctx context.Context, maxBytes int64) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.limitBody(maxBytes)
+	}
+}
+
+func (c *Conn) limitBody(maxBytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.incoming.maxCharge = maxBytes + bodySlack
+}
+
 // EndBody records that the body of a request was read, or will not be read. ctx is the context of the request.
 func EndBody(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
@@ -106,6 +120,7 @@
 	defer c.mu.Unlock()
 	c.incoming.body = reading
 	if reading {
+		c.incoming.bodyEnded = false // a reader with one byte of room is no background read
 		c.incoming.progress = time.Now()
 		return
 	}
@@ -115,14 +130,28 @@
 	}
 }
 
-// ChargeAnswer charges the n bytes of an answer, or of the part of it that is being written, until it is sent. A smaller part than
-// an earlier one adds nothing. ctx is the context of its request.
+// ChargeAnswer charges the n bytes of an answer, or of the part of it that is being written, until AnswerSent or the end of the
+// answer. Until then a smaller part than an earlier one adds nothing. ctx is the context of its request.
 func ChargeAnswer(ctx context.Context, n int64) {
 	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
 		c.chargeAnswer(n)
 	}
 }
 
+// AnswerSent releases the charge of the part of an answer that was sent. ctx is the context of its request.
+func AnswerSent(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.releaseAnswer()
+	}
+}
+
+func (c *Conn) releaseAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.release(c.incoming.answerCharge)
+	c.incoming.answerCharge = 0
+}
+
 // chargeAnswer may exceed the budget: the request has run. HasMemory then refuses others before they run.
 func (c *Conn) chargeAnswer(n int64) {
 	c.mu.Lock()
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -33,6 +33,7 @@
 	limit     time.Duration // idle timeout for the decision on asked
 	unread    bool          // the answer in progress does not wait for the rest of the request's body
 	rejected  bool          // this package has answered; what the server still writes is dropped
+	evicted   bool          // closed for others, which need its descriptor or memory: it does not linger
 	closing   bool          // Close was called
 }
 
@@ -70,7 +71,7 @@
 
 // SetReadDeadline implements net.Conn. The server sets the deadline when it begins to wait for a request, when it has
 // enough bytes of a head, which may have been buffered behind the request before (not for the first request), and when the
-// head is complete.
+// head is complete. It removes the deadline immediately before its background read, which follows the body.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -82,6 +83,9 @@
 		c.incoming.begin(c.since)
 	default:
 		c.incoming.head = false
+		if t.IsZero() {
+			c.incoming.bodyEnded = true
+		}
 	}
 	c.deadline = t
 	return c.applyDeadline()
@@ -128,7 +132,7 @@
 	if c.incoming.head && c.incoming.bytes >= c.listener.limits.headBytes() {
 		return HeadTooLarge
 	}
-	c.incoming.watch = len(p) == 1 && !c.incoming.head
+	c.incoming.watch = len(p) == 1 && c.incoming.bodyEnded
 	c.reading = true
 	if c.readDeadline() != c.applied {
 		_ = c.applyDeadline() // fails only if the connection is closed
@@ -192,6 +196,7 @@
 	}
 	now := time.Now()
 	if why != 0 && Decide(c.state(), why, c.limit, now) == Close {
+		c.evicted = why == Connections || why == Memory
 		return true, why, 0
 	}
 	if !c.deadline.IsZero() && !now.Before(c.deadline) {
@@ -234,6 +239,11 @@
 	if !c.reading || Decide(c.state(), why, limit, now) != Close {
 		return false
 	}
+	return c.ask(why, limit)
+}
+
+// ask interrupts the reader. c.mu must be held.
+func (c *Conn) ask(why Reason, limit time.Duration) bool {
 	c.asked, c.limit = why, limit
 	return c.TCPConn.SetReadDeadline(interrupted) == nil
 }
