--- a/internal/callerconn/budget_test.go
+++ b/internal/callerconn/budget_test.go
@@ -79,6 +79,7 @@
 	first := s.dial()
 	first.send(t, begin)
 	s.awaitCharge(memory)
+	s.awaitReading() // a connection whose bytes are being taken in is not closed for another
 	second := s.dial()
 	second.send(t, begin+"\r\n")
 	second.expectAnswer(t)
