control: streams may queue for half of their callers' patience; an explanation reads an outdated backlog as placement does

The refresh of outdated backlogs was not part of explanations (TestExplainAgreesWithPlaceByTime failed).

--- a/internal/contention/admit.go
+++ b/internal/contention/admit.go
@@ -173,8 +173,7 @@
 // requests that are not less urgent, is before it.
 func (c *Controller) startsTooLate(r *Request, part float64) bool {
 	wait := time.Duration(max(c.loop.utilization-1, 0) * part * float64(c.loop.hold))
-	patience := max(c.opts.MinPatience, time.Duration(c.opts.PatiencePer)*r.Goal, time.Duration(c.opts.PatiencePause)*r.PauseGoal)
-	return wait > patience || r.TimeLeft != 0 && wait > r.TimeLeft
+	return wait > c.opts.Patience(r.Goal, r.PauseGoal) || r.TimeLeft != 0 && wait > r.TimeLeft
 }
 
 // retryAfter returns the time in which the excess that has been turned away drains, with jitter.
--- a/internal/contention/options.go
+++ b/internal/contention/options.go
@@ -115,3 +115,8 @@
 		RetryTimeShare: 1.0 / 3,
 	}
 }
+
+// Patience returns how long a caller waits for the first event, given the latency goal and the goal for pauses of its route.
+func (o *Options) Patience(goal, pauseGoal time.Duration) time.Duration {
+	return max(o.MinPatience, time.Duration(o.PatiencePer)*goal, time.Duration(o.PatiencePause)*pauseGoal)
+}
--- a/internal/control/backlog.go
+++ b/internal/control/backlog.go
@@ -24,10 +24,15 @@
 // expires.
 const backlogRefreshInterval = time.Second
 
+// outdated reports whether what peers have reported must be read again.
+func (b *fleetBacklog) outdated(now boottime.Instant) bool {
+	return b.stale || now.Sub(b.refreshedAt) >= backlogRefreshInterval
+}
+
 // refreshBacklog takes in what peers have reported.
 func (s *State) refreshBacklog(now boottime.Instant) {
 	b := &s.backlog
-	if !b.stale && now.Sub(b.refreshedAt) < backlogRefreshInterval {
+	if !b.outdated(now) {
 		return
 	}
 	b.stale, b.refreshedAt = false, now
@@ -45,7 +50,7 @@
 
 // peekBacklog returns what refreshBacklog would result in, without effects. The caller must not change it.
 func (s *State) peekBacklog(now boottime.Instant) *backlog.Tracker {
-	if !s.backlog.stale {
+	if !s.backlog.outdated(now) {
 		return s.backlog.tracker
 	}
 	t, reported := s.backlog.tracker.Clone(), s.mesh.Backlog(now)
--- a/internal/control/contention.go
+++ b/internal/control/contention.go
@@ -39,14 +39,14 @@
 	if s.table == nil {
 		return
 	}
-	goals := leastUrgentGoals(s.table.Config().Routes)
+	leastUrgent := leastUrgentRoutes(s.table.Config().Routes)
 	counts := s.mesh.InFlight(now) // not those kept for placements, which have no age
 	s.reportWorkspaces(now)
 	for _, id := range slices.Sorted(maps.Keys(s.serviceLoads)) {
 		l := s.serviceLoads[id]
-		if hold := s.costs.ServiceTime(id); goals[id] > 0 && hold > 0 { // otherwise nothing says how long its requests may wait, or do
+		if hold, r := s.costs.ServiceTime(id), leastUrgent[id]; r != nil && hold > 0 { // otherwise nothing says how long its requests may wait, or do
 			load, slots := s.loadAndSlots(now, id, counts)
-			l.contention.Update(now, load, slots, hold, l.longestWait(hold, goals[id]))
+			l.contention.Update(now, load, slots, hold, l.longestWait(hold, r))
 		}
 		s.logContention(now, id, l)
 		l.queueing = l.contention.Queueing(now)
@@ -62,8 +62,11 @@
 
 const (
 	// goalWaitFraction is the fraction of the latency goal of the least urgent requests that they may wait in endpoint
-	// queues: those that wait longer are late. More urgent requests do not wait, since endpoints order their queues.
+	// queues. More urgent requests do not wait, since endpoints order their queues.
 	goalWaitFraction = 0.75
+	// patienceWaitFraction is the same of the time for which callers wait for the first event of a stream. A late stream is better
+	// for them than none, and they return only once.
+	patienceWaitFraction = 0.5
 	// queueFillFraction is the fraction of the load at which endpoints refuse requests up to which they are filled.
 	queueFillFraction = 0.85
 	// maxQueueLimit is the highest such load, as a multiple of the slots, that is believed.
@@ -72,9 +75,13 @@
 	queueLimitWeight = 0.1
 )
 
-// longestWait returns the wait up to which requests queue at endpoints.
-func (l *serviceLoad) longestWait(hold, goal time.Duration) time.Duration {
-	wait := time.Duration(goalWaitFraction * float64(goal))
+// longestWait returns the wait up to which requests queue at endpoints, given the service's least urgent route.
+func (l *serviceLoad) longestWait(hold time.Duration, r *routing.Route) time.Duration {
+	wait := time.Duration(goalWaitFraction * float64(r.GoalLatency))
+	if r.Kind == routing.Streaming {
+		options := contention.DefaultOptions()
+		wait = max(wait, time.Duration(patienceWaitFraction*float64(options.Patience(r.GoalLatency, r.GoalEventGap))))
+	}
 	if l.queueLimit > 1 {
 		wait = min(wait, time.Duration((queueFillFraction*l.queueLimit-1)*float64(hold)))
 	}
@@ -95,8 +102,8 @@
 	l.queueLimit += queueLimitWeight * (level - l.queueLimit)
 }
 
-// leastUrgentGoals returns the latency goal of the least urgent routes of each service, the shortest of several.
-func leastUrgentGoals(routes []routing.Route) map[fleet.ServiceID]time.Duration {
+// leastUrgentRoutes returns the least urgent route with a latency goal of each service, of several the one with the shortest goal.
+func leastUrgentRoutes(routes []routing.Route) map[fleet.ServiceID]*routing.Route {
 	last := map[fleet.ServiceID]*routing.Route{}
 	for i := range routes {
 		r := &routes[i]
@@ -106,11 +113,7 @@
 			}
 		}
 	}
-	goals := make(map[fleet.ServiceID]time.Duration, len(last))
-	for service, r := range last {
-		goals[service] = r.GoalLatency
-	}
-	return goals
+	return last
 }
 
 // workspaceReportPeriod is how long after contention or queueing the requests of workspaces are reported to peers: queues that
--- a/internal/control/dumpload.go
+++ b/internal/control/dumpload.go
@@ -51,7 +51,7 @@
 // dumpContention returns the state of a service's admission, or nil if its utilization is not observed.
 func (s *State) dumpContention(now boottime.Instant, service fleet.ServiceID) *ContentionDump {
 	l := s.serviceLoads[service]
-	if l == nil || s.table == nil || leastUrgentGoals(s.table.Config().Routes)[service] == 0 {
+	if l == nil || s.table == nil || leastUrgentRoutes(s.table.Config().Routes)[service] == nil {
 		return nil
 	}
 	st := l.contention.State(now)
