callerconn: lines of a body that arrives with its head are not charged as fields

Cause: all bytes of the read in which a head ends were charged as the head, 512 bytes for each line: a body of many short lines that arrived together with its head was refused with 503. Change: lines count up to the empty line. TestLinesOfABodyAreNotFields failed before.

--- a/internal/callerconn/incoming.go
+++ b/internal/callerconn/incoming.go
@@ -62,9 +62,20 @@
 	}
 	i.begin(now)
 	i.bytes += len(read)
-	return int64(costPerHeadByte*len(read) + costPerHeadField*bytes.Count(read, newline))
+	return int64(costPerHeadByte*len(read) + costPerHeadField*bytes.Count(read[:headEnd(read)], newline))
 }
 
+// headEnd returns the length of the part of read that may belong to a head: what follows an empty line belongs to a body.
+func headEnd(read []byte) int {
+	if i := bytes.Index(read, emptyLine); i >= 0 {
+		return i + len(emptyLine)
+	}
+	return len(read)
+}
+
+// emptyLine ends a head, together with the end of the line before it.
+var emptyLine = []byte("\r\n\r\n")
+
 // bodyCost returns the cost of n more bytes of a body.
 func (i *incoming) bodyCost(n int64) int64 {
 	if i.maxCharge > 0 {
--- a/internal/callerconn/limits_test.go
+++ b/internal/callerconn/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -190,3 +191,16 @@
 		time.Sleep(3 * timeout)
 	}
 }
+
+// TestLinesOfABodyAreNotFields guards against a body with many lines that is refused, as if its lines were fields of the head, when it
+// arrives together with the head.
+func TestLinesOfABodyAreNotFields(t *testing.T) {
+	const lines = 2000
+	s := startBudgeted(t, 0, &Budget{Bytes: 64 << 10}, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		answerOK(w, r)
+	})
+	c := s.dial()
+	c.send(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "+strconv.Itoa(lines)+"\r\n\r\n"+strings.Repeat("\n", lines))
+	c.expectAnswer(t)
+}
