--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -26,6 +26,7 @@
 	Deadline time.Duration
 	Header   map[string]string
 	Body     string
+	Left     <-chan struct{} // closed when the client ends the connection; nil: it does not
 }
 
 // outcome is what the client got.
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.URL.Opaque = c.Path // sent as it is
+	r.URL.Path = c.Path // has no characters that are escaped
 	r.Host = host
 	r.Header.Set("Request-Id", c.ID)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(c.Deadline.Milliseconds(), 10))
@@ -63,6 +64,13 @@
 func (c *call) send(log *record, m *machine, stopAfter int) outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Deadline)
 	defer cancel()
+	go func() {
+		select {
+		case <-c.Left:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	log.write("client sends %s to %s: %s %s %v", c.ID, m.name, c.Method, c.Path, c.Header)
 	o := c.exchange(ctx, m, stopAfter)
 	log.write("client has of %s: status %d, complete %v, %d events, %d bytes, retry after %v, error %v", c.ID, o.Status, o.Complete, o.LastEvent, len(o.Body), o.RetryAfter, o.Err)
--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -133,7 +133,7 @@
 	}
 	e.running.Add(1)
 	defer e.running.Add(-1)
-	e.log.run(run{Engine: e.id, Service: e.service, Version: e.version, ID: id, Method: r.Method, Target: r.RequestURI, Tenant: r.Header.Get("Tenant")})
+	e.log.run(run{Engine: e.id, Service: e.service, Version: e.version, ID: id, Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host, Tenant: r.Header.Get("Tenant")})
 	w.Header().Set("Response-Stamp", "s."+e.id+"."+id)
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
 		e.stream(w, r)
--- a/review/standin2/gateway.go
+++ b/review/standin2/gateway.go
@@ -146,7 +146,6 @@
 	if m.cmd == nil {
 		return
 	}
-	m.signal(syscall.SIGCONT)
 	m.signal(syscall.SIGKILL)
 	<-m.ended
 }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,6 +18,9 @@
 var cases = map[string]func(log *record, trouble bool) (broken bool, err error){
 	"unframed": unframed,
 	"rolling":  rolling,
+	"regress":  regress,
+	"slashes":  slashes,
+	"takeups":  takeups,
 }
 
 func main() {
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -49,25 +49,35 @@
 
 // startStore starts a store on an address whose last revision is the given one.
 func startStore(ip string, revision uint64) (*store, error) {
+	s := &store{history: 20 * time.Second, revision: revision, gone: revision, items: map[string]item{}, changed: make(chan struct{})}
+	addr, err := serveStore(ip, s)
+	s.addr = addr
+	return s, err
+}
+
+// serveStore serves a store on an address.
+func serveStore(ip string, h http.Handler) (addr string, err error) {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	s := &store{addr: l.Addr().String(), history: 20 * time.Second, revision: revision, gone: revision, items: map[string]item{}, changed: make(chan struct{})}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/kv-key", s.serveKey)
-	mux.HandleFunc("GET /-/kv-range", s.serveRange)
-	mux.HandleFunc("GET /-/kv-watch", s.serveWatch)
-	go func() { _ = http.Serve(l, inEra(mux)) }()
-	return s, nil
+	go func() { _ = http.Serve(l, h) }()
+	return l.Addr().String(), nil
 }
 
-// inEra adds the era, which does not change, to all responses.
-func inEra(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Store-Era", "1")
-		h.ServeHTTP(w, r)
-	})
+// ServeHTTP implements http.Handler.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Store-Era", "1")
+	switch r.Method + " " + r.URL.Path {
+	case "GET /-/kv-key":
+		s.serveKey(w, r)
+	case "GET /-/kv-range":
+		s.serveRange(w, r)
+	case "GET /-/kv-watch":
+		s.serveWatch(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
 }
 
 // put writes a key and returns its revision.
