--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -27,6 +29,7 @@
 	"grace":   grace,
 	"drill":   drill,
 	"crash":   crash,
+	"resume":  resume,
 }
 
 // engineCommand is the first argument of an engine process; its address and its ID follow.
@@ -56,10 +59,16 @@
 		return exitFailed
 	}
 	defer w.close()
-	time.AfterFunc(caseTimeout, func() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-stop:
+		case <-time.After(caseTimeout):
+		}
 		w.close()
 		os.Exit(exitFailed)
-	})
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.note("case %s, trouble %t", name, trouble)
 	violations, err := s(w, trouble)
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -22,6 +22,7 @@
 
 	graceSeconds int      // grace_s of the settings
 	seeds        []string // seed_nodes of the settings
+	ports        ports
 
 	mu       sync.Mutex
 	began    time.Time
@@ -42,6 +43,9 @@
 	}
 	w := &world{gatewayPath: gatewayPath, dir: dir, began: time.Now(), record: f, graceSeconds: usualGraceSeconds}
 	w.network = fmt.Sprintf("127.%d", 20+rand.IntN(200))
+	if w.ports, err = freePorts(w.ip(0, 10)); err != nil {
+		return nil, err
+	}
 	w.store = newStore()
 	l, err := w.listen(w.ip(250, 1))
 	if err != nil {
