--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of cases 11 and later: all files of the Go package review/standin3, into target/review-standin3.
+# Builds the stand-ins of cases 11 to 15: all files of the Go package review/standin3, into target/review-standin3.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -111,6 +111,18 @@
 	s.add(it)
 }
 
+// remove deletes an item.
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.add(storeItem{Key: key, Revision: s.revision, Deleted: true})
+}
+
 func (s *store) add(it storeItem) {
 	s.events = append(s.events, it)
 	close(s.changed)
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -30,6 +30,8 @@
 	gateways []*gateway
 	closers  []func()
 	closed   bool
+
+	closeOnce sync.Once
 }
 
 func newWorld(gatewayPath, record string) (*world, error) {
@@ -83,18 +85,18 @@
 	w.closers = append(w.closers, f)
 }
 
-// close ends all processes and listeners.
-func (w *world) close() {
+// close ends all processes and listeners. It returns when that is done, also if it was called before.
+func (w *world) close() { w.closeOnce.Do(w.end) }
+
+func (w *world) end() {
 	w.mu.Lock()
-	if w.closed {
-		w.mu.Unlock()
-		return
-	}
 	w.closed = true
 	gateways, closers := w.gateways, w.closers
 	w.mu.Unlock()
 	for _, g := range gateways {
-		g.kill()
+		if cmd := g.process(); cmd != nil && cmd.Process != nil {
+			_ = cmd.Process.Kill() // fails only if it has ended
+		}
 	}
 	for _, f := range closers {
 		f()
