exchange: an answer that is reset during the upload isn't complete

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The part was passed on as a complete answer, with a length that the gateway set; a stream ended as if it were whole.

Cause: the write of the request runs beside the read of the response, and its error was dropped once a head had been read. A socket reports a reset once: if the write gets it, the read sees a plain end of the connection, which is how a body without framing ends.

Change: the end of a body without framing is the end of the response only if the request was written whole without an error (internal/respcheck). Otherwise the attempt is broken. A body with a length or chunks has an end of its own and stays whole.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/dandelionvane/dandelionvane/internal/fault"
+	"github.com/dandelionvane/dandelionvane/internal/respcheck"
 )
 
 const readBufferBytes = 4 << 10
@@ -68,7 +69,7 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Body   io.Reader // if Framed, returns io.EOF only at the end of the complete body
+	Body   io.Reader // returns io.EOF only at the end of the complete body, see respcheck.Body
 	Length int64     // of Body as announced, -1: unknown
 	Framed bool      // the body has a length or is chunked, so that its truncation is detected
 
@@ -122,7 +123,7 @@
 	go func() { written <- write(httpReq, w) }()
 	resp, err := readResponse(conn, httpReq)
 	if err == nil {
-		return newResponse(conn, resp), nil
+		return newResponse(conn, resp, func() error { return <-written }), nil
 	}
 	_ = conn.Close()
 	<-written
@@ -137,7 +138,8 @@
 	return err
 }
 
-func newResponse(conn net.Conn, resp *http.Response) *Response {
+// newResponse returns a response whose head has been read. awaitWrite returns the result of writing the request.
+func newResponse(conn net.Conn, resp *http.Response, awaitWrite func() error) *Response {
 	length := resp.ContentLength
 	if resp.Request.Method == http.MethodHead {
 		length = 0 // the announced length is that of the response to a GET
@@ -145,9 +147,9 @@
 	return &Response{
 		Status: resp.StatusCode,
 		Header: resp.Header,
-		Body:   resp.Body,
+		Body:   respcheck.Body(resp, awaitWrite),
 		Length: length,
-		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		Framed: !respcheck.CloseDelimited(resp),
 		conn:   conn,
 	}
 }
--- a/internal/ingress/fake_test.go
+++ b/internal/ingress/fake_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -126,6 +127,7 @@
 	report           func(id string, n int) string    // response to the n-th question of all for an incarnation; nil, "": as usual
 	reports          int                              // such questions
 	restarted        map[string]fleet.Incarnation     // present incarnations of endpoints that have another one than their entry, which has 1
+	leaveBodies      atomic.Bool                      // responders read the bodies of requests themselves
 }
 
 // startTestServer runs a server with endpoints that share a responder: one of each of the software versions
@@ -269,7 +271,10 @@
 	if err != nil {
 		return
 	}
-	body, _ := io.ReadAll(r.Body)
+	var body []byte
+	if !ts.leaveBodies.Load() {
+		body, _ = io.ReadAll(r.Body)
+	}
 	ts.mu.Lock()
 	ts.requests = append(ts.requests, r)
 	ts.bodies = append(ts.bodies, string(body))
