exchange: a status outside 100 to 599 is no answer

What callers saw: an endpoint in trouble sent a status of 000 and another response behind it, and the caller got that one; statuses from 600 to 999 were passed on as they are.

Cause: every status below 200 was taken for that of an interim response, and none was too large. net/http accepts any three digits, +20 too.

Change: respcheck.Head says which heads are valid; exchange asks it for every head, those of interim responses and of checks included. A status that the standard doesn't have (RFC 9110, 15) breaks the attempt: another attempt, or a 502 of the gateway without the endpoint's stamp. Passing on such a response as a 500 would give it another status than its endpoint did.

TestCheckGuardsTheRequest before: a request follows a check that was answered 000.

--- a/internal/exchange/check_test.go
+++ b/internal/exchange/check_test.go
@@ -9,10 +9,20 @@
 	"testing"
 
 	"github.com/pkg/errors"
+
+	"github.com/dandelionvane/dandelionvane/internal/respcheck"
 )
 
 var errNotAccepted = errors.New("not accepted")
 
+// errInvalidHead stands for any *respcheck.HeadError.
+var errInvalidHead = errors.New("invalid head")
+
+func isError(err, want error) bool {
+	var invalid *respcheck.HeadError
+	return errors.Is(err, want) || want == errInvalidHead && errors.As(err, &invalid)
+}
+
 func acceptBody(want string) func(int, []byte) error {
 	return func(status int, body []byte) error {
 		if status != 200 || string(body) != want {
@@ -38,6 +48,7 @@
 		"head without end":      {"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("7", 2*maxHeadBytes), ErrHeadTooLarge},
 		"broken off":            {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n7", io.ErrUnexpectedEOF},
 		"closed without a byte": {"", io.ErrUnexpectedEOF},
+		"status 000":            {"HTTP/1.1 000 X\r\n\r\n" + good, errInvalidHead},
 	} {
 		t.Run(name, func(t *testing.T) {
 			heads := make(chan string, 2)
@@ -67,7 +78,7 @@
 				return
 			}
 			var failed *Error
-			if !errors.Is(err, tc.want) || !errors.As(err, &failed) || failed.MaybeSent {
+			if !isError(err, tc.want) || !errors.As(err, &failed) || failed.MaybeSent {
 				t.Errorf("error %v, want %v, nothing sent", err, tc.want)
 			}
 		})
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"github.com/dandelionvane/dandelionvane/internal/respcheck"
 )
 
 // Bounds on what precedes the body of a response. The head that stays in memory while the body is
@@ -66,6 +68,11 @@
 			return nil, err
 		case fieldCount(resp.Header) > maxHeadFields:
 			return nil, ErrHeadTooLarge
+		}
+		if err := respcheck.Head(resp); err != nil {
+			return nil, err
+		}
+		switch {
 		case resp.StatusCode >= http.StatusOK:
 			head.left = math.MaxInt64
 			return resp, nil
--- /dev/null
+++ b/internal/respcheck/head.go
@@ -0,0 +1,23 @@
+package respcheck
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// maxStatus is the largest valid status (RFC 9110, 15).
+const maxStatus = 599
+
+// HeadError reports a head that is not a valid one of a response, although net/http accepts it.
+type HeadError struct{ Detail string }
+
+// Error implements error.
+func (e *HeadError) Error() string { return "invalid head of a response: " + e.Detail }
+
+// Head returns a *HeadError if the head of a response is invalid. It accepts interim (1xx) responses.
+func Head(resp *http.Response) error {
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
+		return &HeadError{fmt.Sprintf("status %03d", resp.StatusCode)}
+	}
+	return nil
+}
