respcheck: a field whose name has a blank makes a head invalid

What callers saw: an endpoint in trouble sent a head in which the name of a field held a blank, also before the colon. The caller got it as an answer; where the line was the length or the coding, with another body: bytes beyond the length, or chunks with their sizes.

Cause: net/http accepts blanks in names (and only these beyond tokens) and then doesn't know the field.

Change: respcheck.Head rejects such a head, also that of an interim response. As for a broken status: another attempt, or a 502 of the gateway without the endpoint's stamp.

--- a/internal/exchange/check_test.go
+++ b/internal/exchange/check_test.go
@@ -49,6 +49,7 @@
 		"broken off":            {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n7", io.ErrUnexpectedEOF},
 		"closed without a byte": {"", io.ErrUnexpectedEOF},
 		"status 000":            {"HTTP/1.1 000 X\r\n\r\n" + good, errInvalidHead},
+		"blank in a name":       {"HTTP/1.1 200 OK\r\nX One: 1\r\nContent-Length: 1\r\n\r\n7", errInvalidHead},
 	} {
 		t.Run(name, func(t *testing.T) {
 			heads := make(chan string, 2)
--- a/internal/ingress/broken_head_test.go
+++ b/internal/ingress/broken_head_test.go
@@ -28,6 +28,25 @@
 	"status 000 after an interim":  "HTTP/1.1 102 X\r\n\r\nHTTP/1.1 000 X\r\n" + identifyingFields + "\r\n" + secondResponse,
 	"status 000 of a stream":       "HTTP/1.1 000 X\r\n" + identifyingFields + "Content-Type: text/event-stream\r\n\r\n" + eventsText(1, 2),
 	"status 000 before the stream": "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n" + identifyingFields + "Content-Type: text/event-stream\r\n\r\n" + eventsText(1, 2),
+
+	"name with a blank":             "HTTP/1.1 200 OK\r\n" + identifyingFields + "X One: 1\r\nContent-Length: 4\r\n\r\ntext",
+	"blank before the colon":        "HTTP/1.1 200 OK\r\n" + identifyingFields + "X-One : 1\r\nContent-Length: 4\r\n\r\ntext",
+	"tab before the colon":          "HTTP/1.1 200 OK\r\n" + identifyingFields + "X-One\t: 1\r\nContent-Length: 4\r\n\r\ntext",
+	"length with a blank":           "HTTP/1.1 200 OK\r\n" + identifyingFields + "Content-Length : 4\r\n\r\ntext and more",
+	"length in two words":           "HTTP/1.1 200 OK\r\n" + identifyingFields + "Content Length: 4\r\n\r\ntext and more",
+	"coding with a blank":           "HTTP/1.1 200 OK\r\n" + identifyingFields + "Transfer-Encoding : chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+	"stream with a blank in a name": "HTTP/1.1 200 OK\r\n" + identifyingFields + "Content-Type: text/event-stream\r\nX One: 1\r\n\r\n" + eventsText(1, 2),
+	"failure with a blank":          "HTTP/1.1 404 X\r\n" + identifyingFields + "X One: 1\r\nContent-Length: 4\r\n\r\ntext",
+	"refusal with a blank":          "HTTP/1.1 503 X\r\nX-Id: id-1\r\nX-Not-Run: 1\r\nX One: 1\r\nContent-Length: 4\r\n\r\ntext",
+	"blank in an interim response":  "HTTP/1.1 103 X\r\nX One: 1\r\n\r\n" + secondResponse,
+	"zero byte in a name":           "HTTP/1.1 200 OK\r\n" + identifyingFields + "X\x00One: 1\r\nContent-Length: 4\r\n\r\ntext",
+	"DEL in a name":                 "HTTP/1.1 200 OK\r\n" + identifyingFields + "X\x7fOne: 1\r\nContent-Length: 4\r\n\r\ntext",
+	"CR in a name":                  "HTTP/1.1 200 OK\r\n" + identifyingFields + "X\rOne: 1\r\nContent-Length: 4\r\n\r\ntext",
+	"zero byte in a value":          "HTTP/1.1 200 OK\r\n" + identifyingFields + "X-One: 1\x002\r\nContent-Length: 4\r\n\r\ntext",
+	"no name":                       "HTTP/1.1 200 OK\r\n" + identifyingFields + ": 1\r\nContent-Length: 4\r\n\r\ntext",
+	"no colon":                      "HTTP/1.1 200 OK\r\n" + identifyingFields + "X-One\r\nContent-Length: 4\r\n\r\ntext",
+	"first line begins with blank":  "HTTP/1.1 200 OK\r\n X-One: 1\r\n" + identifyingFields + "Content-Length: 4\r\n\r\ntext",
+	"two lengths":                   "HTTP/1.1 200 OK\r\n" + identifyingFields + "Content-Length: 4\r\nContent-Length: 5\r\n\r\ntext",
 }
 
 // TestBrokenHeadIsNoAnswer guards against an answer that is passed on although its head is no valid one: the request is retried if its
--- a/internal/respcheck/head.go
+++ b/internal/respcheck/head.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // maxStatus is the largest valid status (RFC 9110, 15).
@@ -19,5 +20,13 @@
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
 		return &HeadError{fmt.Sprintf("status %03d", resp.StatusCode)}
 	}
+	for name := range resp.Header {
+		if !validName(name) {
+			return &HeadError{fmt.Sprintf("field name %q", name)}
+		}
+	}
 	return nil
 }
+
+// validName reports whether the name of a field is valid. net/http accepts blanks in it beyond what RFC 9110, 5.1, allows.
+func validName(name string) bool { return name != "" && !strings.Contains(name, " ") }
