respcheck: another version than HTTP/1 and control bytes in the reason make a head invalid

What callers saw: a head of HTTP/2.0 or HTTP/0.9 in the text of HTTP/1, or with a zero byte or a bare CR in its reason, came to them as an answer.

Cause: net/http takes any version of one digit each, and any bytes as the reason.

Change: respcheck.Head rejects both. The reason is not passed on; such bytes show that the endpoint does not write HTTP.

--- a/internal/ingress/broken_head_test.go
+++ b/internal/ingress/broken_head_test.go
@@ -47,6 +47,14 @@
 	"no colon":                      "HTTP/1.1 200 OK\r\n" + identifyingFields + "X-One\r\nContent-Length: 4\r\n\r\ntext",
 	"first line begins with blank":  "HTTP/1.1 200 OK\r\n X-One: 1\r\n" + identifyingFields + "Content-Length: 4\r\n\r\ntext",
 	"two lengths":                   "HTTP/1.1 200 OK\r\n" + identifyingFields + "Content-Length: 4\r\nContent-Length: 5\r\n\r\ntext",
+
+	"HTTP/2.0":                   "HTTP/2.0 200 OK\r\n" + identifyingFields + "Content-Length: 4\r\n\r\ntext",
+	"HTTP/0.9":                   "HTTP/0.9 200 OK\r\n" + identifyingFields + "Content-Length: 4\r\n\r\ntext",
+	"http/1.1":                   "http/1.1 200 OK\r\n" + identifyingFields + "Content-Length: 4\r\n\r\ntext",
+	"zero byte in the reason":    "HTTP/1.1 200 O\x00K\r\n" + identifyingFields + "Content-Length: 4\r\n\r\ntext",
+	"CR in the reason":           "HTTP/1.1 200 O\rK\r\n" + identifyingFields + "Content-Length: 4\r\n\r\ntext",
+	"empty line before the head": "\r\n" + secondResponse,
+	"blank before the head":      " " + secondResponse,
 }
 
 // TestBrokenHeadIsNoAnswer guards against an answer that is passed on although its head is no valid one: the request is retried if its
--- a/internal/respcheck/head.go
+++ b/internal/respcheck/head.go
@@ -17,6 +17,12 @@
 
 // Head returns a *HeadError if the head of a response is invalid. It accepts interim (1xx) responses.
 func Head(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return &HeadError{fmt.Sprintf("version %q", resp.Proto)}
+	}
+	if strings.ContainsFunc(resp.Status, isControl) {
+		return &HeadError{fmt.Sprintf("reason %q", resp.Status)}
+	}
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
 		return &HeadError{fmt.Sprintf("status %03d", resp.StatusCode)}
 	}
@@ -28,5 +34,8 @@
 	return nil
 }
 
+// isControl reports whether a character may not occur in a reason (RFC 9112, 4).
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
 // validName reports whether the name of a field is valid. net/http accepts blanks in it beyond what RFC 9110, 5.1, allows.
 func validName(name string) bool { return name != "" && !strings.Contains(name, " ") }
--- a/internal/respcheck/head_test.go
+++ b/internal/respcheck/head_test.go
@@ -49,6 +49,15 @@
 		"HTTP/1.1 20 X\r\n\r\n":         false,
 		"HTTP/1.1 2x0 X\r\n\r\n":        false,
 
+		"HTTP/1.0 200 OK\r\n\r\n":        true,
+		"HTTP/1.7 200 OK\r\n\r\n":        true,
+		"HTTP/1.1 200 \tO\xe9 K\r\n\r\n": true,
+		"HTTP/0.9 200 OK\r\n\r\n":        false,
+		"HTTP/2.0 200 OK\r\n\r\n":        false,
+		"HTTP/1.1 200 O\x00K\r\n\r\n":    false,
+		"HTTP/1.1 200 O\rK\r\n\r\n":      false,
+		"HTTP/1.1 200 O\x7fK\r\n\r\n":    false,
+
 		"HTTP/1.1 200 OK\r\nX-One: 1\r\n\r\n":                            true,
 		"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: a blank\tand a tab\r\n\r\n": true,
 		"HTTP/1.1 200 OK\r\nX-One:\r\n\r\n":                              true,
