exchange: a transfer coding in HTTP/1.0 makes a head invalid

What callers saw: the answer of an endpoint that named HTTP/1.0 and sent chunks: the chunks with their sizes were passed on as its body.

Cause: net/http drops the line about the coding in HTTP/1.0, and takes what follows for a body that ends with the connection.

Change: the bytes of the head are kept until it is read, and respcheck.Framing looks for such a line in them (RFC 9112, 6.1: the framing is faulty). A body of HTTP/1.0 with that text stays as it is.

TestTransferCodingInABodyOfHTTP10 holds.

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"math"
 	"net/http"
@@ -25,13 +26,19 @@
 	ErrTooManyInterim = errors.New("too many interim responses")
 )
 
-// headReader reads a connection up to a number of bytes, beyond which it returns ErrHeadTooLarge.
+// headReader reads a connection up to a number of bytes, beyond which it returns ErrHeadTooLarge. It keeps what it has read until end is
+// called, from where on nothing is bounded.
 type headReader struct {
 	r        io.Reader
 	left     int64 // bytes that may still be read
 	exceeded bool
+	ended    bool
+	raw      bytes.Buffer // what was read before the end
 }
 
+// end marks the end of the head.
+func (h *headReader) end() { h.left, h.ended, h.raw = math.MaxInt64, true, bytes.Buffer{} }
+
 // Read implements io.Reader.
 func (h *headReader) Read(b []byte) (int, error) {
 	if h.left <= 0 {
@@ -40,9 +47,15 @@
 	}
 	n, err := h.r.Read(b[:min(int64(len(b)), h.left)])
 	h.left -= int64(n)
+	if !h.ended {
+		h.raw.Write(b[:n])
+	}
 	return n, err
 }
 
+// bytes returns what was read of the head. br is the buffer that the head was read through.
+func (h *headReader) bytes(br *bufio.Reader) []byte { return h.raw.Bytes()[:h.raw.Len()-br.Buffered()] }
+
 // readResponse reads the head of the final response. The body of the returned response is not
 // bounded.
 func readResponse(conn io.Reader, httpReq *http.Request) (*http.Response, error) {
@@ -74,7 +87,10 @@
 		}
 		switch {
 		case resp.StatusCode >= http.StatusOK:
-			head.left = math.MaxInt64
+			if err := respcheck.Framing(resp, head.bytes(br)); err != nil {
+				return nil, err
+			}
+			head.end()
 			return resp, nil
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("the endpoint switched protocols")
--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -129,3 +129,22 @@
 		t.Errorf("error of %d bytes: %v", len(err.Error()), err)
 	}
 }
+
+// TestTransferCodingInABodyOfHTTP10 guards against a body of HTTP/1.0 whose text is taken for a field of its head.
+func TestTransferCodingInABodyOfHTTP10(t *testing.T) {
+	const text = "\r\nTransfer-Encoding: chunked\r\n"
+	for _, framing := range []string{"", fmt.Sprintf("Content-Length: %d\r\n", len(text))} {
+		resp, err := do(t, startEndpoint(t, func(conn net.Conn) {
+			readHead(conn)
+			_, _ = io.CopyN(io.Discard, conn, 4)
+			_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n"+framing+"\r\n"+text)
+		}), request("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := io.ReadAll(resp.Body); err != nil || string(got) != text {
+			t.Errorf("%q: got %q, %v", framing, got, err)
+		}
+		resp.Close()
+	}
+}
--- a/internal/ingress/broken_head_test.go
+++ b/internal/ingress/broken_head_test.go
@@ -55,6 +55,10 @@
 	"CR in the reason":           "HTTP/1.1 200 O\rK\r\n" + identifyingFields + "Content-Length: 4\r\n\r\ntext",
 	"empty line before the head": "\r\n" + secondResponse,
 	"blank before the head":      " " + secondResponse,
+
+	"chunks of HTTP/1.0": "HTTP/1.0 200 OK\r\n" + identifyingFields + "Transfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+	"chunks and a length of HTTP/1.0": "HTTP/1.0 200 OK\r\n" + identifyingFields + "transfer-encoding: chunked\r\nContent-Length: 5\r\n\r\n" +
+		"4\r\ntext\r\n0\r\n\r\n",
 }
 
 // TestBrokenHeadIsNoAnswer guards against an answer that is passed on although its head is no valid one: the request is retried if its
--- a/internal/respcheck/head.go
+++ b/internal/respcheck/head.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 )
 
@@ -39,3 +40,15 @@
 
 // validName reports whether the name of a field is valid. net/http accepts blanks in it beyond what RFC 9110, 5.1, allows.
 func validName(name string) bool { return name != "" && !strings.Contains(name, " ") }
+
+// Framing returns a *HeadError if the framing of a response cannot be told, given the bytes that its head was read from: net/http drops
+// the transfer coding of an HTTP/1.0 response, which would then be taken for a part of the body (RFC 9112, 6.1).
+func Framing(resp *http.Response, head []byte) error {
+	if !resp.ProtoAtLeast(1, 1) && transferCoding.Match(head) {
+		return &HeadError{"a transfer coding in HTTP/1.0"}
+	}
+	return nil
+}
+
+// transferCoding matches the beginning of a field with a transfer coding.
+var transferCoding = regexp.MustCompile(`(?i)\nTransfer-Encoding:`)
