httpcall, upstream: heads that are no valid ones are errors for every reader

What was seen: the readers of the store, of seeds, of peers' items and records and of the platform's feeds believed a response of HTTP/2.0 or one with a blank in the name of a field. The router passed on responses with the status 000, 101, 600 and with such names to callers, and believed a refusal ('not run') and a load report with such a head.

Change: respcheck.Transport asks respcheck.Head for each final response, so that one place decides for all readers.

Statuses other than 200 and bodies that end early were errors at all of these readers before, too.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -1,5 +1,5 @@
-// Package httpcall makes HTTP requests and reads whole responses, whose head and body are bounded in bytes. The context of
-// the request bounds their time.
+// Package httpcall makes HTTP requests and reads whole responses, whose heads are valid, and whose head and body are bounded in bytes. The
+// context of the request bounds their time.
 package httpcall
 
 import (
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"github.com/dandelionvane/dandelionvane/internal/respcheck"
 )
 
 // ErrTooLarge is returned for a response body that exceeds the size limit.
@@ -16,12 +18,12 @@
 // MaxHeadBytes is the maximum size of the head of a response, with all interim responses before it.
 const MaxHeadBytes = 16 << 10
 
-// NewClient returns a client with a transport, on which it sets the bound of the head. It returns
-// redirects as responses: servers of this fleet and the platform have no reason to send any.
+// NewClient returns a client with a transport, on which it sets the bound of the head. A response whose head is invalid is an error. It
+// returns redirects as responses: servers of this fleet and the platform have no reason to send any.
 func NewClient(t *http.Transport) *http.Client {
 	t.MaxResponseHeaderBytes = MaxHeadBytes
 	return &http.Client{
-		Transport:     t,
+		Transport:     respcheck.Transport{Base: t},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/core"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
+	"github.com/dandelionvane/dandelionvane/internal/respcheck"
 )
 
 var errProtocol = errors.New("upstream: invalid response from the endpoint")
@@ -108,12 +109,13 @@
 // causeOf maps an error of an attempt to a cause. The cause of the context takes precedence; an expired deadline counts
 // as no progress.
 func causeOf(ctx context.Context, err error) core.AttemptCause {
+	var invalid *respcheck.HeadError
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errNoProgress), errors.Is(cause, errDeadline):
 		return core.CauseNoProgress
 	case cause != nil:
 		return core.CauseCancelled
-	case errors.Is(err, errProtocol):
+	case errors.Is(err, errProtocol), errors.As(err, &invalid):
 		return core.CauseProtocol
 	default:
 		return core.CauseReset
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/respcheck"
 )
 
 // Limits on what is read from an endpoint.
@@ -44,8 +46,8 @@
 // Client sends requests to endpoints. It is safe for concurrent use.
 type Client struct {
 	cfg              Config
-	attemptTransport *http.Transport
-	pollTransport    *http.Transport
+	attemptTransport respcheck.Transport
+	pollTransport    respcheck.Transport
 }
 
 // New returns a client.
@@ -55,19 +57,19 @@
 	}
 	return &Client{
 		cfg: cfg,
-		attemptTransport: &http.Transport{
+		attemptTransport: respcheck.Transport{Base: &http.Transport{
 			DialContext:            cfg.Dial.dialGuarded,
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
-		pollTransport: &http.Transport{
+		}},
+		pollTransport: respcheck.Transport{Base: &http.Transport{
 			DialContext:            cfg.Dial,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			MaxIdleConnsPerHost:    maxIdlePollConns,
 			IdleConnTimeout:        idlePollConnTimeout,
-		},
+		}},
 	}
 }
 
