ingress: a refusal behind a check must name its request

What callers saw (one of the reports of other operators): 503 'not run, try again' for a request that an endpoint ran. Here it needs a stream that its caller takes up, whose endpoint has to report its incarnation first, on the same connection, and writes a refusal without the ID of a request behind the report. No other connection carries more than one response.

Cause: a response that named no request was taken for that of the request, as it must be on a connection of its own.

Change: on a connection on which a check was answered, a response that says 'not run' must name the request; otherwise the request counts as possibly run. On a connection of its own a refusal without an ID is believed as before.

Evidence: TestExtraResponseAfterAReportIsNoRefusal before: 3 of 3 new cases answered 503 after a run (503, 429 and 421 without an ID); one that names another request was not believed before, either. The test's former form never reached an endpoint, since the origin of its stream was not known (0 runs in 4 of 4 requests); it now fails if there is no run.

--- a/internal/exchange/check.go
+++ b/internal/exchange/check.go
@@ -29,7 +29,12 @@
 // DoChecked sends a check and, if its response is accepted, a request, as Do does. An error of the check or of its Accept
 // has MaybeSent false.
 func (c *Client) DoChecked(ctx context.Context, addr string, check Check, req *Request) (*Response, error) {
-	return c.do(ctx, addr, req, func(conn net.Conn) error { return check.run(conn, req.Host) })
+	resp, err := c.do(ctx, addr, req, func(conn net.Conn) error { return check.run(conn, req.Host) })
+	if err != nil {
+		return nil, err
+	}
+	resp.Checked = true
+	return resp, nil
 }
 
 // Fetch sends a GET request and returns the whole response, of at most maxCheckBytes.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -67,11 +67,12 @@
 
 // Response is an endpoint's response whose head has been received. Close must be called.
 type Response struct {
-	Status int
-	Header http.Header
-	Body   io.Reader // returns io.EOF only at the end of the complete body, see respcheck.Body
-	Length int64     // of Body as announced, -1: unknown
-	Framed bool      // the body has a length or is chunked, so that its truncation is detected
+	Status  int
+	Header  http.Header
+	Body    io.Reader // returns io.EOF only at the end of the complete body, see respcheck.Body
+	Length  int64     // of Body as announced, -1: unknown
+	Framed  bool      // the body has a length or is chunked, so that its truncation is detected
+	Checked bool      // another response came before on the connection, so that an extra one may stand in place of this
 
 	conn           net.Conn
 	stopCancelHook func() bool
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -155,10 +155,10 @@
 		a.reportEndpointState(&meta)
 	}
 	d := delivery{maybeSent: true, mayHaveRun: true}
-	switch {
-	case meta.RequestID != "" && meta.RequestID != a.meta.ID:
-		a.err = errors.Errorf("the response belongs to request %s", meta.RequestID)
+	if a.err = a.extraResponse(resp, &meta); a.err != nil {
 		return d
+	}
+	switch {
 	case misdirected:
 		a.result = control.Misdirected
 		return delivery{maybeSent: true}
@@ -176,6 +176,21 @@
 	return d
 }
 
+// extraResponse returns an error if a response is or may be an extra one, so that the request may run: if it names another request, or if it
+// states that the request has not run and names none, on a connection on which another response came before.
+func (a *attempt) extraResponse(resp *exchange.Response, meta *ResponseMetadata) error {
+	switch {
+	case meta.RequestID == a.meta.ID:
+		return nil
+	case meta.RequestID != "":
+		return errors.Errorf("the response belongs to request %s", meta.RequestID)
+	case resp.Checked && (meta.NotRun || meta.Misdirected):
+		return errors.New("the refusal does not name the request")
+	default:
+		return nil
+	}
+}
+
 // reportEndpointState passes the endpoint's load and cold time in a response to the control state.
 func (a *attempt) reportEndpointState(r *ResponseMetadata) {
 	a.s.control.Do(func(st *control.State, now boottime.Instant) {
--- a/internal/ingress/fake_test.go
+++ b/internal/ingress/fake_test.go
@@ -34,7 +34,7 @@
 type testHeaderCodec struct{}
 
 func (testHeaderCodec) ReadRequest(h http.Header) (RequestMetadata, error) {
-	meta := RequestMetadata{ID: fleet.RequestID(h.Get("X-Id")), Key: h.Get("X-Key"), LastEventID: h.Get("X-After")}
+	meta := RequestMetadata{ID: fleet.RequestID(h.Get("X-Id")), Key: h.Get("X-Key"), LastEventID: h.Get("X-After"), Resumes: fleet.RequestID(h.Get("X-Resumes"))}
 	if meta.ID == "" {
 		return meta, errors.New("X-Id is missing")
 	}
--- a/internal/ingress/report_test.go
+++ b/internal/ingress/report_test.go
@@ -81,33 +81,43 @@
 }
 
 // TestExtraResponseAfterAReportIsNoRefusal guards against a refusal of a request that runs: bytes that follow the report
-// a little later belong to no request.
+// a little later belong to no request, whether they name another one or none.
 func TestExtraResponseAfterAReportIsNoRefusal(t *testing.T) {
-	ts := startTestServer(t, nil)
-	ts.removeEndpoints("e0", "e1", "e2")
-	ran := make(chan string, 10)
-	addr := startReporter(t, "", func(c net.Conn) {
-		time.Sleep(20 * time.Millisecond)
-		_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n")
-	}, func(c net.Conn, r *http.Request) {
-		ran <- r.Header.Get("X-Id")
-		writeStreamHead(c)
-		writeEvents(c, 3, 4)
-		endChunkedBody(c)
-	})
-	ts.store.Write(publishedtest.Endpoint(fleet.Endpoint{ID: "r", Addr: addr, Service: "s", Version: "v1", Incarnation: 1}, 1))
-	ts.readStore()
-	time.Sleep(300 * time.Millisecond)
-	for _, route := range []string{"stream", "resumable"} {
-		g := ts.send("POST", route, "", "X-After", "2")
-		time.Sleep(100 * time.Millisecond)
-		if n := len(ran); g.status == http.StatusServiceUnavailable && n > 0 {
-			t.Errorf("%s: status %d (%q) after %d runs", route, g.status, g.body, n)
-		} else {
-			t.Logf("%s: status %d %q %v after %d runs", route, g.status, g.body, g.err, n)
-		}
-		for len(ran) > 0 {
-			<-ran
-		}
+	for name, extra := range map[string]string{
+		"of another request": "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n",
+		"of no request":      "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"429 of no request":  "HTTP/1.1 429 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"421 of no request":  "HTTP/1.1 421 X\r\nX-Endpoint: other\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := startTestServer(t, breakStreamOff, "v1")
+			if g := ts.send("POST", "resumable", "", "X-Id", "id-0"); g.body != eventsText(1, 2) {
+				t.Fatalf("the first part of the stream is %q, %v", g.body, g.err)
+			}
+			ran := make(chan string, 10)
+			addr := startReporter(t, "", func(c net.Conn) {
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(c, extra)
+			}, func(c net.Conn, r *http.Request) {
+				ran <- r.Header.Get("X-Id")
+				writeStreamHead(c)
+				writeEvents(c, 3, 4)
+				endChunkedBody(c)
+			})
+			ts.store.Write(publishedtest.Endpoint(fleet.Endpoint{ID: "r", Addr: addr, Service: "s", Version: "v1", Incarnation: 1}, 1))
+			ts.readStore()
+			ts.removeEndpoints("e0")
+			g := ts.send("POST", "resumable", "", "X-After", "2", "X-Resumes", "id-0")
+			if id := <-ran; g.status == http.StatusServiceUnavailable {
+				t.Errorf("status %d (%q) after a run of %s", g.status, g.body, id)
+			}
+		})
 	}
 }
+
+// breakStreamOff sends two events of a stream of request id-0 and resets its connection.
+func breakStreamOff(_ int, c net.Conn, _ *http.Request) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Stamp: 1\r\nX-Id: id-0\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	writeEvents(c, 1, 2)
+	resetConn(c)
+}
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -159,6 +159,7 @@
 		return
 	}
 	f := platformtest.ReadForwarded(r.Header)
+	platformtest.EchoID(w.Header(), f.ID)
 	if f.Endpoint != p.id {
 		platformtest.RespondMisdirected(w, p.id)
 		return
