ingress: a body that is late in a planned stop is refused if its time goes beyond the end

What callers saw (a report of other operators): requests that came late in the grace period were passed on, and cut at its end with no answer, also ones that may not be repeated.

Cause: whether a stop ends before the deadline of a request was asked only before its body was read. A head of the first seconds whose body was complete later was passed on whatever was left.

Change: it is asked once more before the request is first passed on: behind the body, and behind what a request may wait for. The refusal is true, and the caller comes back on a connection to another instance.

Now all are refused with 503 and a Retry-After, none reaches an endpoint. A request whose time is over before the end of the stop is run as before (TestLateBodyThatStillHasTimeIsRun).

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -60,11 +60,7 @@
 		c.respondNotRun(c.admission.Reason, c.admission.RetryAfter)
 		return
 	}
-	if c.s.callers.endsBefore(c.deadline) {
-		c.respondNotRun(control.ReasonStopping, endedRetryAfter)
-		return
-	}
-	if c.headerTooLarge() || !c.readBody() {
+	if c.refuseForStop() || c.headerTooLarge() || !c.readBody() {
 		return
 	}
 	defer c.releaseBodies()
@@ -76,12 +72,22 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.awaitEvidence(ctx)
-	if !c.findOrigin(ctx) || c.endIfDone(ctx) {
+	if !c.findOrigin(ctx) || c.endIfDone(ctx) || c.refuseForStop() {
 		return
 	}
 	c.run(ctx)
 }
 
+// refuseForStop refuses the request if a planned stop ends before its deadline, and reports whether it did. The stop may have begun while the
+// body was read, or while the request waited.
+func (c *call) refuseForStop() bool {
+	if !c.s.callers.endsBefore(c.deadline) {
+		return false
+	}
+	c.respondNotRun(control.ReasonStopping, endedRetryAfter)
+	return true
+}
+
 func (c *call) admit() {
 	// The result if the event loop has ended.
 	c.admission = control.Admission{Reason: control.ReasonNoConfig, RetryAfter: endedRetryAfter}
--- /dev/null
+++ b/internal/ingress/stop_test.go
@@ -0,0 +1,70 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// stopAfter begins the part of a planned stop that closes the listener, and returns a channel that gets the result of Drain.
+func (ts *testServer) stopAfter(grace time.Duration) <-chan int {
+	ts.server.DisableKeepAlives()
+	end := time.Now().Add(grace)
+	stopped := make(chan int, 1)
+	go func() { stopped <- ts.server.Drain(end, end) }()
+	return stopped
+}
+
+// answerSlowly returns a responder that needs some time for each answer.
+func answerSlowly(d time.Duration) responder {
+	return func(_ int, c net.Conn, _ *http.Request) {
+		time.Sleep(d)
+		writeCompleteResponse(c, "good")
+	}
+}
+
+// TestBodyThatIsLateInAPlannedStop guards against a request whose head came before a planned stop, and the rest of its body so late that it is cut off
+// without an answer.
+func TestBodyThatIsLateInAPlannedStop(t *testing.T) {
+	const grace = time.Second
+	for _, route := range []string{"non-idempotent", "idempotent", "stream", "resumable"} {
+		for framing, raw := range map[string]struct{ head, rest string }{
+			"length": {rawHead(route, 4, "X-Wait-Ms: 10000\r\n"), "body"},
+			"chunks": {strings.Replace(rawHead(route, 0, "X-Wait-Ms: 10000\r\n"), "Content-Length: 0", "Transfer-Encoding: chunked", 1), "4\r\nbody\r\n0\r\n\r\n"},
+		} {
+			t.Run(route+", "+framing, func(t *testing.T) {
+				t.Parallel()
+				ts := startTestServer(t, answerSlowly(2*grace))
+				conn := ts.dial()
+				conn.send(t, raw.head+raw.rest[:len(raw.rest)-1])
+				time.Sleep(50 * time.Millisecond)
+				stopped := ts.stopAfter(grace)
+				time.Sleep(grace / 2)
+				conn.send(t, raw.rest[len(raw.rest)-1:])
+				status, header, err := conn.answer()
+				if status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" || !conn.closes || ts.arrivals() != 0 {
+					t.Errorf("status %d, %v, error %v, %d arrivals; want a refusal that closes the connection", status, header, err, ts.arrivals())
+				}
+				<-stopped
+			})
+		}
+	}
+}
+
+// TestLateBodyThatStillHasTimeIsRun guards against the refusal of a request whose time is over before the end of a planned stop.
+func TestLateBodyThatStillHasTimeIsRun(t *testing.T) {
+	const grace = time.Second
+	ts := startTestServer(t, answerSlowly(grace/10))
+	conn := ts.dial()
+	conn.send(t, rawHead("non-idempotent", 4, "X-Wait-Ms: 700\r\n")+"bod")
+	time.Sleep(50 * time.Millisecond)
+	stopped := ts.stopAfter(grace)
+	time.Sleep(grace / 4)
+	conn.send(t, "y")
+	if status, _, err := conn.answer(); status != http.StatusOK {
+		t.Errorf("status %d, %v for a request whose time is over before the end of the stop", status, err)
+	}
+	<-stopped
+}
