ingress: requests under way at the end of a planned stop are answered

Cause: the end of a stop closed the server, whatever its handlers were doing.

Change: at the end of a stop the requests in progress are ended like those whose deadline passes: 502 if they may have run, 503 if they have not, the endpoint's own failure if there is one. Only a stream that has begun is cut, as before.

Evidence: TestRequestsUnderWayAtTheEndOfAStopAreAnswered before: 4 of 4 kinds of routes without an answer. Now each gets a 502. TestStreamUnderWayAtTheEndOfAStopIsCut held before and holds.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -36,7 +36,7 @@
 
 // drainAndStop performs a planned stop. The process becomes unready but keeps serving while the
 // load balancer may still send new connections, and then completes the requests in progress
-// within the grace period.
+// within the grace period, or ends them.
 func (p *process) drainAndStop() {
 	began := time.Now()
 	grace := p.settings.Bounds.StopGracePeriod - stopReserve
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -71,6 +71,7 @@
 	c.fingerprint, c.shares = c.computeFingerprint(), c.findShares()
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(c.s.stopped, cancel)()
 	c.awaitEvidence(ctx)
 	if !c.findOrigin(ctx) || c.endIfDone(ctx) || c.refuseForStop() {
 		return
@@ -198,7 +199,7 @@
 	c.endAttempts(p.Reason, p.RetryAfter)
 }
 
-// endIfDone ends the request if the caller has disconnected or the deadline has passed, and
+// endIfDone ends the request if the caller has disconnected, the deadline has passed or a planned stop ends it, and
 // reports whether it did.
 func (c *call) endIfDone(ctx context.Context) bool {
 	if c.r.Context().Err() != nil || c.response.callerDisconnected {
@@ -207,6 +208,10 @@
 	if ctx.Err() == nil {
 		return false
 	}
+	if c.s.stopped.Err() != nil {
+		c.endAttempts(control.ReasonStopping, endedRetryAfter)
+		return true
+	}
 	c.respondDeadlineExceeded()
 	return true
 }
--- a/internal/ingress/callers.go
+++ b/internal/ingress/callers.go
@@ -19,6 +19,10 @@
 	// lastAnswerTime is how long before the end of a planned stop all connections without a request are closed, so that
 	// requests that have arrived by then can still be answered.
 	lastAnswerTime = 300 * time.Millisecond
+	// finalAnswerTime is how long after the end of a planned stop the answers to the requests that it has ended may take to be sent.
+	finalAnswerTime = 200 * time.Millisecond
+	// finalAnswerCheckInterval is the time between two checks whether all of them are sent.
+	finalAnswerCheckInterval = 5 * time.Millisecond
 )
 
 // callers is the server of the callers' connections.
@@ -82,7 +86,8 @@
 
 // Drain completes a planned stop. It accepts no more connections, closes those without a request as what their last
 // answers announced passes, but all of them from idleEnd on, and returns once none is left or end has come. Requests that
-// still arrive are refused if their time limit is beyond end. It returns the number of requests that were cut off.
+// still arrive are refused if their time limit is beyond end. Requests that are still in progress at end are ended: answered, or cut if a stream has
+// begun, which takes up to finalAnswerTime. It returns their number.
 func (s *Server) Drain(idleEnd, end time.Time) int {
 	l := s.callers.listener.Load()
 	if l == nil {
@@ -98,7 +103,18 @@
 	if open == 0 {
 		return 0
 	}
-	return s.Close(EndGracePeriod)
+	n := int(s.inProgress.Load())
+	s.endRequests()
+	s.Close(EndGracePeriod)
+	return n
+}
+
+// endRequests ends the requests in progress and waits until their answers are sent, but not longer than finalAnswerTime.
+func (s *Server) endRequests() {
+	s.stopRequests()
+	for end := time.Now().Add(finalAnswerTime); s.inProgress.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(finalAnswerCheckInterval)
+	}
 }
 
 // Close closes the connections of all callers for the given cause and returns the number of requests that it cuts off.
--- a/internal/ingress/endings.go
+++ b/internal/ingress/endings.go
@@ -76,6 +76,8 @@
 		return EndOriginUnknown
 	case control.ReasonMayHaveRun, control.ReasonRefused:
 		return EndEndpointBroke
+	case control.ReasonStopping:
+		return EndGracePeriod
 	default:
 		return EndNoEndpoint
 	}
--- a/internal/ingress/endings_test.go
+++ b/internal/ingress/endings_test.go
@@ -67,6 +67,7 @@
 		control.ReasonVersionGone:   EndOriginUnknown,
 		control.ReasonMayHaveRun:    EndEndpointBroke,
 		control.ReasonRefused:       EndEndpointBroke,
+		control.ReasonStopping:      EndGracePeriod,
 	} {
 		if got := endCauseOf(reason); got != want {
 			t.Errorf("%v: cause %v, want %v", reason, got, want)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -28,11 +29,15 @@
 	callers    *callers
 	inProgress atomic.Int64  // requests
 	ending     atomic.Uint32 // EndCause of requests that are still in progress, 0 while the process goes on
+
+	stopped      context.Context // done once a planned stop ends the requests in progress
+	stopRequests context.CancelFunc
 }
 
 // New returns a server that sends requests to endpoints with the given client.
 func New(c Control, codec HeaderCodec, client *exchange.Client, meter *Meter) *Server {
 	s := &Server{control: c, codec: codec, client: client, meter: meter, memory: newMemory()}
+	s.stopped, s.stopRequests = context.WithCancel(context.Background())
 	s.callers = newCallers(s)
 	return s
 }
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -68,3 +69,50 @@
 	}
 	<-stopped
 }
+
+// TestRequestsUnderWayAtTheEndOfAStopAreAnswered guards against a connection that ends without an answer because its request still runs at the end of a
+// planned stop.
+func TestRequestsUnderWayAtTheEndOfAStopAreAnswered(t *testing.T) {
+	const grace = 500 * time.Millisecond
+	ts := startTestServer(t, answerSlowly(2*grace))
+	conns := map[string]*callerConn{}
+	for _, route := range []string{"non-idempotent", "idempotent", "stream", "resumable"} {
+		conns[route] = ts.dial()
+		conns[route].send(t, patientRequest(route, "body", 10*time.Second))
+	}
+	for ts.arrivals() < len(conns) {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := ts.stopAfter(grace)
+	for route, conn := range conns {
+		if status, _, err := conn.answer(); status != http.StatusBadGateway || !conn.closes {
+			t.Errorf("%s: status %d, closes %t, %v; want 502 for a request that may have run", route, status, conn.closes, err)
+		}
+	}
+	if n := <-stopped; n != len(conns) {
+		t.Errorf("%d requests were not complete, want %d", n, len(conns))
+	}
+}
+
+// TestStreamUnderWayAtTheEndOfAStopIsCut guards against a stream that ends as if it were complete at the end of a planned stop.
+func TestStreamUnderWayAtTheEndOfAStopIsCut(t *testing.T) {
+	const grace = 300 * time.Millisecond
+	ts := startTestServer(t, func(_ int, c net.Conn, _ *http.Request) {
+		writeStreamHead(c)
+		writeEvents(c, 1, 1)
+		time.Sleep(3 * grace)
+		writeEvents(c, 2, 2)
+		endChunkedBody(c)
+	})
+	conn := ts.dial()
+	conn.send(t, patientRequest("stream", "body", 10*time.Second))
+	resp, err := http.ReadResponse(conn.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped := ts.stopAfter(grace)
+	if body, err := io.ReadAll(resp.Body); err == nil || string(body) != eventsText(1, 1) {
+		t.Errorf("body %q, error %v", body, err)
+	}
+	<-stopped
+}
