sse, ingress: the events of all streams have a bound on their memory

What was seen (a report of other operators): a faulty endpoint sends bytes without an end, and the process that called it keeps them all until its memory is used up; the requests of others end with it. Heads and buffered bodies held here; events did not.

Cause: an event may have 256 KiB, for each stream on its own, in three copies (its line, its raw bytes, its data), whose capacities grow by doubling. What all streams hold together had no bound.

Change: raw bytes beyond 16 KiB and the copies of their fields are reserved from the budget of buffered responses, as the event grows, and returned with its end; the copy of the line is gone. Without memory the attempt is dropped, which says nothing about its endpoint; a resumable stream goes on at another endpoint, whose events may be small. Small events never depend on others.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -149,11 +149,11 @@
 	g.expectAlive()
 	peak := g.peakMemoryMB()
 	g.t.Logf("peak of %d MiB, %d descriptors", peak, descriptors)
-	if peak > memoryMB {
-		g.t.Errorf("peak of %d MiB, the instance has %d MiB", peak, memoryMB)
+	if peak > g.limits.memoryMB {
+		g.t.Errorf("peak of %d MiB, the instance has %d MiB", peak, g.limits.memoryMB)
 	}
-	if descriptors > maxDescriptors {
-		g.t.Errorf("%d descriptors, the instance has %d", descriptors, maxDescriptors)
+	if descriptors > g.limits.descriptors {
+		g.t.Errorf("%d descriptors, the instance has %d", descriptors, g.limits.descriptors)
 	}
 }
 
--- a/internal/crowd/process_test.go
+++ b/internal/crowd/process_test.go
@@ -19,11 +19,13 @@
 	"github.com/dandelionvane/dandelionvane/platform/platformtest"
 )
 
-// Limits of the process under test. The bounds that the tests check follow from them: what an instance has.
-const (
-	memoryMB       = 64
-	maxDescriptors = 256
+// limits are those of the process under test. The bounds that the tests check follow from them: what an instance has.
+type limits struct{ memoryMB, descriptors int }
+
+// lowLimits let a small crowd show whether memory and descriptors are bounded.
+var lowLimits = limits{memoryMB: 64, descriptors: 256}
 
+const (
 	maxHeaderBytes = 8 << 10
 	maxBodyBytes   = 256 << 10
 	headerTimeout  = time.Second
@@ -59,19 +61,26 @@
 // gateway is a gateway process with one endpoint.
 type gateway struct {
 	t                                 *testing.T
+	limits                            limits
 	cmd                               *exec.Cmd
 	ended                             chan error // gets the result of the process
 	callers, ready, control, operator string     // addresses
 }
 
-// startGateway starts a process with the limits of these tests and waits until it is ready.
-func startGateway(t *testing.T) *gateway {
+// startGateway starts a process with low limits, an endpoint of the route "idempotent", and waits until it is ready.
+func startGateway(t *testing.T) *gateway { return startGatewayWith(t, lowLimits) }
+
+// startGatewayWith starts a process with limits and further endpoints, by the route that they serve.
+func startGatewayWith(t *testing.T, l limits, endpoints ...routeEndpoint) *gateway {
 	store := platformtest.NewStore()
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
 	endpoint := httptest.NewServer(http.HandlerFunc(answer))
 	t.Cleanup(endpoint.Close)
 	store.Write(config(t), platformtest.Endpoint("e-1", "idempotent", strings.TrimPrefix(endpoint.URL, "http://"), "a", false))
+	for i, e := range endpoints {
+		store.Write(platformtest.Endpoint(fmt.Sprintf("f-%d", i), e.route, e.addr, "a", false))
+	}
 
 	const ip = "127.0.77.1"
 	ports, err := platformtest.FreePorts(ip, 5)
@@ -79,11 +88,11 @@
 		t.Fatal(err)
 	}
 	addr := func(i int) string { return fmt.Sprintf("%s:%d", ip, ports[i]) }
-	g := &gateway{t: t, ended: make(chan error, 1), callers: addr(0), ready: addr(1), control: addr(2), operator: addr(4)}
+	g := &gateway{t: t, limits: l, ended: make(chan error, 1), callers: addr(0), ready: addr(1), control: addr(2), operator: addr(4)}
 	settings := platformtest.Instance{
 		ID: "n-1", DataCentre: "a", IP: ip, Callers: ports[0], Balancer: ports[1], Control: ports[2], Peers: ports[3],
 		Seeds: []string{addr(2)}, Store: strings.TrimPrefix(storeServer.URL, "http://"), KeyRevocationDelay: 5 * time.Second,
-	}.Settings() + fmt.Sprintf("limits.memory_mb=%d\nlimits.max_fds=%d\n", memoryMB, maxDescriptors)
+	}.Settings() + fmt.Sprintf("limits.memory_mb=%d\nlimits.max_fds=%d\n", l.memoryMB, l.descriptors)
 	g.start(settings, ports[4])
 	for end := time.Now().Add(readyWait); g.status("http://"+g.ready+"/-/ready") != http.StatusOK; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -93,6 +102,9 @@
 	return g
 }
 
+// routeEndpoint is an endpoint of the service of a route.
+type routeEndpoint struct{ route, addr string }
+
 func (g *gateway) start(settings string, operatorPort int) {
 	file := filepath.Join(g.t.TempDir(), "n-1.conf")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -113,7 +113,8 @@
 // forwardStream forwards the events of a stream as they arrive. It forwards only complete
 // events with consecutive numbers, and reports whether the stream ended normally.
 func (a *attempt) forwardStream(resp *exchange.Response) bool {
-	r := sse.NewReader(resp.Body)
+	r := sse.NewBudgetReader(resp.Body, &a.s.memory.responses)
+	defer r.Release()
 	for {
 		ev, err := r.Next()
 		if errors.Is(err, io.EOF) && a.mayEndStream() {
@@ -121,6 +122,9 @@
 			a.sendStreamHead(resp)
 			return true
 		}
+		if errors.Is(err, bytebudget.ErrExhausted) {
+			a.result = control.ResponseDropped
+		}
 		if err != nil {
 			a.err = err
 			return false
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -49,7 +49,7 @@
 	if c.reserved != nil {
 		c.attempts.givenUp = append(c.attempts.givenUp, placed.Endpoint)
 	}
-	if a.result == control.ResponseDropped {
+	if a.result == control.ResponseDropped && !a.stream { // another stream may have small events
 		c.endRetries(control.ReasonNoMemory)
 	}
 	return d
@@ -84,7 +84,8 @@
 	watchdog  *watchdog
 	result    control.AttemptResult
 	status    int
-	events    int // forwarded to the caller by this attempt
+	stream    bool // the response is an event stream
+	events    int  // forwarded to the caller by this attempt
 	err       error
 }
 
@@ -169,6 +170,7 @@
 		a.err = errors.New("the response lacks the endpoint's stamp header")
 		return d
 	case isStream(resp):
+		a.stream = true
 		d.complete = a.forwardStream(resp)
 	default:
 		d.complete = a.forwardBuffered(resp)
--- a/internal/ingress/memory.go
+++ b/internal/ingress/memory.go
@@ -17,7 +17,7 @@
 // once, and 19 MiB for everything else.
 const (
 	requestBudgetBytes  = 24 << 20 // of the bodies of all requests together, a third for the largest one
-	responseBudgetBytes = 24 << 20 // of the bodies of all buffered responses together, likewise
+	responseBudgetBytes = 24 << 20 // of the bodies of all buffered responses together, likewise, and of large events of streams
 	freeBodyBytes       = 64 << 10 // of each body, without a reservation from a budget
 
 	// defaultMaxRequestBytes limits the body of a request if the published limits don't.
@@ -26,7 +26,7 @@
 	maxBufferedResponseBytes = 8 << 20
 )
 
-// memory bounds the memory of the bodies of all requests and responses.
+// memory bounds the memory of the bodies of all requests and responses, and of the events of streams.
 type memory struct{ requests, responses bytebudget.Budget }
 
 func newMemory() *memory {
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"github.com/dandelionvane/dandelionvane/internal/bytebudget"
 )
 
 // MaxEventBytes is the maximum size of an event as received, with all its lines.
@@ -17,6 +19,13 @@
 // and fields of no event.
 const MaxBytesBetweenEvents = 256 << 10
 
+// Memory of an event in bytes. Its raw bytes and its fields, which are copies of them, may take it twice.
+const (
+	minRawBytes  = 1 << 10                         // initial capacity for raw bytes
+	maxRawBytes  = MaxEventBytes + readBufferBytes // an event that exceeds its bound is noticed after a further read
+	freeRawBytes = 16 << 10                        // of raw bytes, held without a reservation from the budget
+)
+
 // Errors of streams that exceed a bound.
 var (
 	ErrTooLarge             = errors.New("sse: event too large")
@@ -33,11 +42,11 @@
 
 // Reader parses a stream of server-sent events.
 type Reader struct {
-	src        *bufio.Reader
-	line       []byte
-	event      Event
-	eventBytes int
-	hasField   bool // the current event has a field
+	src      *bufio.Reader
+	event    Event
+	hasField bool // the current event has a field
+	budget   *bytebudget.Budget
+	reserved int64 // of the budget
 }
 
 // NewReader returns a Reader that parses src.
@@ -45,15 +54,23 @@
 	return &Reader{src: bufio.NewReaderSize(src, readBufferBytes)}
 }
 
+// NewBudgetReader returns a Reader that reserves the memory of large events from a budget. Release must be called.
+func NewBudgetReader(src io.Reader, b *bytebudget.Budget) *Reader {
+	r := NewReader(src)
+	r.budget = b
+	return r
+}
+
 // Next returns the next complete event. It returns io.EOF at the end of the stream,
-// io.ErrUnexpectedEOF if the stream ends within an event, and ErrTooLarge or
-// ErrTooMuchBetweenEvents if it exceeds a bound; nothing can be read after an error.
+// io.ErrUnexpectedEOF if the stream ends within an event, ErrTooLarge or ErrTooMuchBetweenEvents
+// if it exceeds a bound, and bytebudget.ErrExhausted if there is no memory for a large event; nothing
+// can be read after an error.
 func (r *Reader) Next() (Event, error) {
 	r.reset()
 	skipped := 0 // bytes since the last event
 	for {
 		line, err := r.readLine()
-		if errors.Is(err, io.EOF) && r.eventBytes > 0 {
+		if errors.Is(err, io.EOF) && len(r.event.Raw) > 0 {
 			return Event{}, io.ErrUnexpectedEOF
 		}
 		if err != nil {
@@ -66,35 +83,50 @@
 		if r.hasField {
 			return r.event, nil
 		}
-		if skipped += r.eventBytes; skipped > MaxBytesBetweenEvents {
+		if skipped += len(r.event.Raw); skipped > MaxBytesBetweenEvents {
 			return Event{}, ErrTooMuchBetweenEvents
 		}
 		r.reset()
 	}
 }
 
+// reset begins another event. The memory of a large one is returned.
 func (r *Reader) reset() {
+	r.hasField = false
+	if cap(r.event.Raw) > freeRawBytes {
+		r.Release()
+		return
+	}
 	r.event.ID = r.event.ID[:0]
 	r.event.Name = r.event.Name[:0]
 	r.event.Data = r.event.Data[:0]
 	r.event.Raw = r.event.Raw[:0]
-	r.eventBytes = 0
-	r.hasField = false
 }
 
-// readLine returns the next line without its line terminator.
+// Release returns the memory of the current event, whose fields must not be used any more.
+func (r *Reader) Release() {
+	r.event = Event{}
+	if r.reserved > 0 {
+		r.budget.Release(r.reserved)
+		r.reserved = 0
+	}
+}
+
+// readLine returns the next line without its line terminator, after it has appended the line to the raw bytes of the event.
 func (r *Reader) readLine() ([]byte, error) {
-	r.line = r.line[:0]
+	start := len(r.event.Raw)
 	for {
 		part, err := r.src.ReadSlice('\n')
-		r.eventBytes += len(part)
-		if r.eventBytes > MaxEventBytes {
+		if len(r.event.Raw)+len(part) > MaxEventBytes {
 			return nil, ErrTooLarge
 		}
-		r.line = append(r.line, part...)
+		if !r.grow(len(part)) {
+			return nil, bytebudget.ErrExhausted
+		}
 		r.event.Raw = append(r.event.Raw, part...)
 		if err == nil {
-			return bytes.TrimSuffix(r.line[:len(r.line)-1], []byte("\r")), nil
+			line := r.event.Raw[start : len(r.event.Raw)-1]
+			return bytes.TrimSuffix(line, []byte("\r")), nil
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return nil, err
@@ -102,6 +134,33 @@
 	}
 }
 
+// grow makes room for n more raw bytes of the event, and returns false if there is no memory for them.
+func (r *Reader) grow(n int) bool {
+	raw := r.event.Raw
+	if len(raw)+n <= cap(raw) {
+		return true
+	}
+	size := min(max(2*cap(raw), len(raw)+n, minRawBytes), maxRawBytes)
+	if !r.reserve(size) {
+		return false
+	}
+	r.event.Raw = append(make([]byte, 0, size), raw...)
+	return true
+}
+
+// reserve reserves what an event with a capacity for raw bytes exceeds the free memory by.
+func (r *Reader) reserve(rawBytes int) bool {
+	n := 2*int64(max(rawBytes-freeRawBytes, 0)) - r.reserved
+	if r.budget == nil || n <= 0 {
+		return true
+	}
+	if !r.budget.Reserve(n) {
+		return false
+	}
+	r.reserved += n
+	return true
+}
+
 func (r *Reader) parseField(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
--- a/internal/sse/reader_test.go
+++ b/internal/sse/reader_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
+
+	"github.com/dandelionvane/dandelionvane/internal/bytebudget"
 )
 
 // TestReaderRoundTripAndCut parses encoded events byte by byte, and truncated events, which must be reported as an
@@ -54,6 +56,41 @@
 	}
 }
 
+// TestLargeEventsAreReservedFromTheBudget checks that the memory of large events is reserved while they are read, that small ones need no
+// reservation, and that an event for which there is no memory is an error.
+func TestLargeEventsAreReservedFromTheBudget(t *testing.T) {
+	large, small := "data: "+strings.Repeat("x", 4*freeRawBytes)+"\n\n", "data: "+strings.Repeat("x", freeRawBytes/2)+"\n\n"
+	b := &bytebudget.Budget{Limit: 2 * MaxEventBytes}
+	r := NewBudgetReader(strings.NewReader(small+large+small+large), b)
+	for i, want := range []string{small, large, small, large} {
+		ev, err := r.Next()
+		if err != nil || string(ev.Raw) != want {
+			t.Fatalf("event %d: %d bytes, %v", i, len(ev.Raw), err)
+		}
+		if reserved := b.Reserved(); (reserved > 0) != (want == large) || want == large && reserved < int64(2*(len(large)-freeRawBytes)) {
+			t.Errorf("event %d of %d bytes: %d bytes are reserved", i, len(want), reserved)
+		}
+	}
+	r.Release()
+	r.Release()
+	if b.Reserved() != 0 {
+		t.Errorf("%d bytes are reserved after the release", b.Reserved())
+	}
+
+	b.Reserve(b.Limit)
+	r = NewBudgetReader(strings.NewReader(small+large), b)
+	if _, err := r.Next(); err != nil {
+		t.Errorf("a small event without a budget: %v", err)
+	}
+	if _, err := r.Next(); !errors.Is(err, bytebudget.ErrExhausted) {
+		t.Errorf("a large event without a budget: %v", err)
+	}
+	r.Release()
+	if b.Reserved() != b.Limit {
+		t.Errorf("%d bytes are reserved, want %d", b.Reserved(), b.Limit)
+	}
+}
+
 func FuzzReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: {}\n\n"))
 	f.Add([]byte(":\n\r\n\ndata\ndata:x\n\n"))
