upstream: the events of all streams have a bound on their memory in the router, too

What was seen: as in the gateway, each stream of a router could hold an event of 256 KiB in three copies, with no bound on all of them.

A stream without memory is lost as one whose event is too large.

Evidence: TestEventsWithoutEndAtOnce before: none of 600 streams with 200 KiB of an event without end is cut off. Now all but those whose events fit, and nothing stays reserved.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dandelionvane/dandelionvane/internal/bytebudget"
 	"github.com/dandelionvane/dandelionvane/internal/respcheck"
 )
 
@@ -14,6 +15,7 @@
 	maxReportBytes         = 4 << 10
 	maxStoredBodyBytes     = 64 << 10 // of a response stored for repeated requests
 	copyBufferBytes        = 16 << 10
+	eventBudgetBytes       = 64 << 20 // of the large events of all streams together
 )
 
 // Idle connections for load polls, per endpoint.
@@ -48,6 +50,7 @@
 	cfg              Config
 	attemptTransport respcheck.Transport
 	pollTransport    respcheck.Transport
+	events           bytebudget.Budget // of large events of streams
 }
 
 // New returns a client.
@@ -56,7 +59,8 @@
 		cfg.Dial = (&net.Dialer{Timeout: cfg.ConnectTimeout}).DialContext
 	}
 	return &Client{
-		cfg: cfg,
+		cfg:    cfg,
+		events: bytebudget.Budget{Limit: eventBudgetBytes},
 		attemptTransport: respcheck.Transport{Base: &http.Transport{
 			DialContext:            cfg.Dial.dialGuarded,
 			DisableKeepAlives:      true,
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/dandelionvane/dandelionvane/internal/core"
 	"github.com/dandelionvane/dandelionvane/internal/sse"
@@ -60,3 +64,40 @@
 		}
 	}
 }
+
+// TestEventsWithoutEndAtOnce guards against events without end of many streams at once, each within its own bound, that use memory without a bound.
+func TestEventsWithoutEndAtOnce(t *testing.T) {
+	const (
+		streams    = 600
+		eventBytes = 200 << 10
+	)
+	s := &fakeServer{}
+	s.serve = func(c net.Conn) {
+		respondWith(streamHead + "data: " + strings.Repeat("x", eventBytes))(c)
+		_, _ = c.Read(make([]byte, 1)) // returns when the connection is closed
+	}
+	c := s.client(t)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	var wg sync.WaitGroup
+	var lost atomic.Int32
+	for range streams {
+		wg.Go(func() {
+			ev := c.Run(ctx, chatDispatch, chatCall, &recordingSink{}, func(core.AttemptStarted) {})
+			if ev, ok := ev.(core.AttemptLost); ok && ev.Cause == core.CauseProtocol {
+				lost.Add(1)
+			}
+		})
+	}
+	const atLeast = streams - eventBudgetBytes/(2*(eventBytes-16<<10)) // that cannot be in memory
+	for end := time.Now().Add(4 * time.Second); lost.Load() < atLeast && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if n := lost.Load(); n < atLeast {
+		t.Errorf("%d of %d streams are cut off while %d bytes are reserved, want %d", n, streams, c.events.Reserved(), atLeast)
+	}
+	cancel(ErrCancelled)
+	wg.Wait()
+	if n := c.events.Reserved(); n != 0 {
+		t.Errorf("%d bytes are still reserved", n)
+	}
+}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dandelionvane/dandelionvane/internal/bytebudget"
 	"github.com/dandelionvane/dandelionvane/internal/core"
 	"github.com/dandelionvane/dandelionvane/internal/sse"
 )
@@ -35,7 +36,8 @@
 // forwardStream forwards the events of a chat completion until the end marker.
 func (a *attempt) forwardStream(ctx context.Context, resp *http.Response) core.Event {
 	st := streamState{lastOffset: a.dispatch.Offset}
-	r := sse.NewReader(resp.Body)
+	r := sse.NewBudgetReader(resp.Body, &a.client.events)
+	defer r.Release()
 	for {
 		ev, err := r.Next()
 		if err != nil {
@@ -51,8 +53,10 @@
 }
 
 func protocolError(err error) error {
-	if errors.Is(err, sse.ErrTooLarge) || errors.Is(err, sse.ErrTooMuchBetweenEvents) {
-		return errProtocol
+	for _, bound := range []error{sse.ErrTooLarge, sse.ErrTooMuchBetweenEvents, bytebudget.ErrExhausted} {
+		if errors.Is(err, bound) {
+			return errProtocol
+		}
 	}
 	return err
 }
