soak: broken and early answers, large bodies, planned stops that overlap (mix 7)

Endpoints that reset a connection during the upload, answer whole before they have read it, send heads that are no valid ones, or a part of a long event; callers with bodies of 64 to 640 KB, a quarter of them late; half of the gateways stopped one shortly after the other behind a series of reloads, each met by a burst, while configurations change. The proxy in front of an endpoint passes a reset on as a reset.

--- /dev/null
+++ b/internal/soak/broken.go
@@ -0,0 +1,91 @@
+package soak
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// unreadBufferBytes is the receive buffer of an endpoint that answers before it has read the request.
+	unreadBufferBytes = 4 << 10
+	// earlyAnswerTime is how long a gateway has to read a whole early answer before its connection is reset.
+	earlyAnswerTime = 50 * time.Millisecond
+	// longEventBytes is less than the largest event that a gateway reads.
+	longEventBytes = 240 << 10
+	// longEventTime is how long an endpoint keeps the connection after the part of a long event.
+	longEventTime = 3 * time.Second
+)
+
+// brokenHeads are heads that are no valid ones; identifying stands for the fields of a valid response.
+var brokenHeads = []string{
+	"HTTP/1.1 000 X\r\nidentifying\r\n",
+	"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nidentifying\r\n",
+	"HTTP/1.1 099 X\r\nidentifying\r\n",
+	"HTTP/1.1 700 X\r\nidentifying\r\n",
+	"HTTP/1.1 200 OK\r\nidentifyingX One: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nidentifyingX-One : 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nidentifyingContent-Length : 3\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nidentifyingX\x01One: 1\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nidentifyingTransfer-Encoding: chunked\r\n\r\n",
+	"HTTP/2.0 200 OK\r\nidentifying\r\n",
+}
+
+// brokenModes are the modes of endpoints whose answers are broken, or come early.
+var brokenModes = []mode{modeEarlyReset, modeEarlyReset, modeEarlyAnswer, modeBrokenHead, modeBrokenHead, modeLongEvent}
+
+func (r *run) brokenEndpoint(d time.Duration) {
+	r.misbehave(r.pickEndpoint(), brokenModes[r.rng.IntN(len(brokenModes))], d)
+}
+
+// respondBroken sends the response of a mode that writes to the connection itself, and reports whether the mode is such a mode.
+func (e *endpoint) respondBroken(w http.ResponseWriter, m mode, kind, id string) bool {
+	if !slices.Contains(brokenModes, m) {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return true // the gateway has closed the connection
+	}
+	defer conn.Close()
+	fields := fmt.Sprintf("Response-Stamp: s\r\nRequest-Id: %s\r\n", id)
+	body := fullBody(id)
+	if isStream(kind) {
+		fields += "Content-Type: text/event-stream\r\n"
+		body = streamEvent(id, 1, e.softwareVersion())
+	}
+	switch m {
+	case modeEarlyReset:
+		part := body
+		if !isStream(kind) {
+			part = body[:len(body)/2]
+		}
+		respondUnread(conn, "HTTP/1.1 200 OK\r\n"+fields+"\r\n"+part, 0)
+	case modeEarlyAnswer:
+		respondUnread(conn, fmt.Sprintf("HTTP/1.1 500 X\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body), earlyAnswerTime)
+	case modeBrokenHead:
+		h := fnv.New32()
+		_, _ = io.WriteString(h, id)
+		head := brokenHeads[h.Sum32()%uint32(len(brokenHeads))]
+		_, _ = io.WriteString(conn, strings.Replace(head, "identifying", fields, 1)+body)
+	case modeLongEvent:
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+fields+"\r\nid: 1\ndata: "+strings.Repeat("x", longEventBytes))
+		_ = conn.SetReadDeadline(time.Now().Add(longEventTime))
+		_, _ = io.Copy(io.Discard, conn)
+	}
+	return true
+}
+
+// respondUnread sends a response and resets the connection after a delay, whatever of the request has not been read.
+func respondUnread(conn net.Conn, response string, delay time.Duration) {
+	tcp := conn.(*net.TCPConn) // the endpoint's server listens on TCP
+	_ = tcp.SetReadBuffer(unreadBufferBytes)
+	_, _ = io.WriteString(tcp, response)
+	time.Sleep(delay)
+	_ = tcp.SetLinger(0)
+}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -57,6 +57,7 @@
 	gateway   *gateway
 	kind, key string
 	bodyPause time.Duration // between its head and its body
+	upload    int           // bytes of its body besides its content, 0 for a small one
 	limit     int64         // bytes of the response's body after which the caller leaves, 0: none
 	origin    string        // ID of the request that began the stream to resume, "" for none
 	lastEvent uint64        // of that stream
--- a/internal/soak/changes.go
+++ b/internal/soak/changes.go
@@ -4,6 +4,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -16,6 +17,10 @@
 	stormInterval        = 60 * time.Millisecond   // between two configurations of a storm
 	stormDuration        = 1500 * time.Millisecond // of a storm of configurations
 	stormKeys            = 8                       // keys issued in a storm of keys
+
+	stopOffset        = 700 * time.Millisecond // between the beginnings of planned stops that overlap
+	reloadsBeforeStop = 3
+	reloadInterval    = 100 * time.Millisecond
 )
 
 // edit changes the configuration that is to be published.
@@ -148,6 +153,30 @@
 	r.runAfter(stormDuration+configDelay, func() { r.operator.publish(r.resetConfig) })
 }
 
+// overlappingStops stops half of the gateways one shortly after the other, each after a series of reloads and met by a burst, while configurations
+// change.
+func (r *run) overlappingStops(d time.Duration) {
+	r.logFault("half of the gateways: reloads and planned stops that overlap, while configurations change")
+	for i, n := range r.rng.Perm(len(r.fleet.gateways))[:max(len(r.fleet.gateways)/2, 1)] {
+		g := r.fleet.gateways[n]
+		r.runAfter(time.Duration(i)*stopOffset, func() {
+			b := r.openBurst(g, routeKinds...)
+			defer b.close()
+			for range reloadsBeforeStop {
+				g.signal(syscall.SIGHUP)
+				time.Sleep(reloadInterval)
+			}
+			var sent sync.WaitGroup
+			sent.Go(func() { b.send(beforeStopCloses + stopBurstSpread) })
+			g.stop()
+			sent.Wait()
+			time.Sleep(d / 4)
+			r.restartGateway(g)
+		})
+	}
+	r.configStorm(d)
+}
+
 // reloadChangedSettings takes the second seed out of the settings or puts it back, and reloads them.
 func (r *run) reloadChangedSettings(time.Duration) {
 	g := r.pickGateway()
--- a/internal/soak/content.go
+++ b/internal/soak/content.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/dandelionvane/dandelionvane/platform/platformtest"
 )
@@ -65,5 +66,5 @@
 	if q.shared != nil {
 		return *q.shared
 	}
-	return content{workspace: workspace, kind: q.kind, body: fmt.Sprint("body of ", id)}
+	return content{workspace: workspace, kind: q.kind, body: fmt.Sprint("body of ", id) + strings.Repeat(" ", q.upload)}
 }
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -146,6 +146,12 @@
 	return e.mode, e.mode != modeHealthy || time.Since(e.lastDisturbance) < requestTimeout
 }
 
+func (e *endpoint) softwareVersion() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
 func (e *endpoint) startTime() time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -179,7 +185,7 @@
 		p.die(w, r, f, d, arrived)
 		return
 	}
-	if respondEndlessly(w, m, f.ID) {
+	if respondEndlessly(w, m, f.ID) || e.respondBroken(w, m, routeOf(r), f.ID) {
 		return
 	}
 	platformtest.StampResponse(w.Header(), f.ID)
@@ -227,9 +233,7 @@
 func (e *endpoint) stream(ctx context.Context, w http.ResponseWriter, f platformtest.Forwarded, m mode) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
-	e.mu.Lock()
-	version := e.version
-	e.mu.Unlock()
+	version := e.softwareVersion()
 	for n := f.LastEvent + 1; n <= streamEvents; n++ {
 		if m == modeTruncating && n == streamEvents/2 {
 			panic(http.ErrAbortHandler)
--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -17,10 +17,12 @@
 	deathCallers int           // number of callers that send queries of death, per group of gateways
 	deadlyParts  int           // parts of prompts that are queries of death, besides contents
 	workTime     time.Duration // for which endpoints work on a request that isn't streamed
+
+	uploadCallers int // number of callers that send large bodies, per group of gateways
 }
 
 // LatestMix is the mix of new seeds.
-const LatestMix = 6
+const LatestMix = 7
 
 var (
 	faultsOfMix1 = []fault{
@@ -49,11 +51,17 @@
 		(*run).upgradeEndpoint, (*run).upgradeEndpoint, (*run).publishConfig, (*run).publishConfig, (*run).moveRoute,
 		(*run).stopGateway, (*run).killGateway, (*run).pauseGateway,
 	}
+	faultsOfMix7 = append(slices.Clone(faultsOfMix3),
+		(*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint,
+		(*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint,
+		(*run).overlappingStops, (*run).overlappingStops, (*run).overlappingStops,
+	)
 )
 
 // mixes are the versions of the mix of faults. From mix 2 on, gateways have one processor each, so that requests wait in
 // the buffers of connections. Mix 4 has mainly ends of endpoints; mix 5 is mix 4 without queries of death;
-// mix 6 is mix 3 with a part of prompts that ends processes, beside contents that do.
+// mix 6 is mix 3 with a part of prompts that ends processes, beside contents that do; mix 7 is mix 3 without queries of death, with broken
+// answers, large bodies and planned stops that overlap.
 var mixes map[int]mix
 
 var oneProcessor = []string{"GOMAXPROCS=1"}
@@ -68,6 +76,7 @@
 		3: {faults: faultsOfMix3, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, workTime: workTime},
 		4: {faults: faultsOfMix4, idleTimeout: idleTimeout, environment: oneProcessor, soundCallers: 40, deathCallers: 3, workTime: workTime},
 		6: {faults: faultsOfMix3, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime},
+		7: {faults: faultsOfMix7, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, workTime: workTime, uploadCallers: 6},
 		5: {faults: faultsOfMix4, idleTimeout: idleTimeout, environment: oneProcessor, soundCallers: 40, workTime: workTime},
 	}
 }
--- a/internal/soak/modes.go
+++ b/internal/soak/modes.go
@@ -26,6 +26,10 @@
 	modeEndlessHead     = modeCount + iota // executes the request and sends fields of the head without end
 	modeEndlessBody                        // executes the request and sends a body without end
 	modeEndlessComments                    // executes the request and sends comments of a stream without end
+	modeEarlyReset                         // executes the request, answers a part without a length before it has read it, and resets the connection
+	modeEarlyAnswer                        // executes the request, answers a whole 500 with a length before it has read it, and resets the connection
+	modeBrokenHead                         // executes the request and sends a head that is not valid
+	modeLongEvent                          // executes the request and sends a part of a long event
 )
 
 const (
@@ -44,6 +48,7 @@
 var modeNames = map[mode]string{
 	modeHealthy: "sound", modeFailing: "failing", modeClosing: "closing", modeHanging: "hanging", modeTruncating: "truncating the response",
 	modePausing: "pausing", modeLeaving: "leaving", modeEndlessHead: "endless head", modeEndlessBody: "endless body", modeEndlessComments: "endless comments",
+	modeEarlyReset: "reset during the upload", modeEarlyAnswer: "early answer", modeBrokenHead: "broken head", modeLongEvent: "long event",
 }
 
 func (m mode) String() string { return modeNames[m] }
@@ -51,9 +56,9 @@
 // cause returns the circumstance that a mode is for the requests at the endpoint's service, 0 for none.
 func (m mode) cause() cause {
 	switch m {
-	case modeFailing:
+	case modeFailing, modeEarlyAnswer:
 		return endpointFailing
-	case modeClosing, modeTruncating, modeEndlessHead, modeEndlessBody, modeEndlessComments:
+	case modeClosing, modeTruncating, modeEndlessHead, modeEndlessBody, modeEndlessComments, modeEarlyReset, modeBrokenHead, modeLongEvent:
 		return endpointBroken
 	case modeHanging:
 		return endpointSilent
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -134,6 +134,7 @@
 	start(m.burstCallers, r.runBurstCaller)
 	start(m.soundCallers, r.runSoundCaller)
 	start(m.deathCallers, r.runDeathCaller)
+	start(m.uploadCallers, r.runUploadCaller)
 	return func() {
 		cancel()
 		wg.Wait()
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 )
 
@@ -145,3 +147,43 @@
 		}
 	}
 }
+
+// TestResetIsPassedOn guards against a reset of the target's connection that reaches the client as a plain end, also while data is sent to the target.
+func TestResetIsPassedOn(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			_, _ = c.Read(make([]byte, 100))
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	l, err := Start("tcp", "127.0.0.1:0", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for _, size := range []int{1, 1 << 20} {
+		for range 20 {
+			c, err := net.Dial("tcp", l.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+			wrote := make(chan error, 1)
+			go func() {
+				_, err := c.Write(make([]byte, size))
+				wrote <- err
+			}()
+			_, readErr := c.Read(make([]byte, 1))
+			if err := <-wrote; !errors.Is(readErr, syscall.ECONNRESET) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+				t.Errorf("%d bytes sent: read %v, write %v", size, readErr, err)
+			}
+			_ = c.Close()
+		}
+	}
+}
