ingress: a response to another request says nothing of its endpoint's present state

What was seen: an earlier response that came once more was not passed on, but what it said of its endpoint (leaving, retry-after, load, cold) was taken for the present state, so that a sound endpoint could be left out for up to a minute.

Cause: the state was reported before it was checked whose response it is. Change: the other way round.

Evidence: TestResponseToAnotherRequestSaysNothingOfItsEndpoint before: the endpoint counts as leaving. Now it doesn't.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -151,14 +151,14 @@
 func (a *attempt) handleResponse(resp *exchange.Response) delivery {
 	a.status = resp.Status
 	meta := a.s.codec.ReadResponse(resp.Status, resp.Header)
-	misdirected := meta.Misdirected && meta.Endpoint != a.placed.Endpoint
-	if !misdirected {
-		a.reportEndpointState(&meta)
-	}
 	d := delivery{maybeSent: true, mayHaveRun: true}
 	if a.err = a.extraResponse(resp, &meta); a.err != nil {
 		return d
 	}
+	misdirected := meta.Misdirected && meta.Endpoint != a.placed.Endpoint
+	if !misdirected {
+		a.reportEndpointState(&meta)
+	}
 	switch {
 	case misdirected:
 		a.result = control.Misdirected
--- a/internal/ingress/fake_test.go
+++ b/internal/ingress/fake_test.go
@@ -61,6 +61,7 @@
 		NotRun:      h.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		Misdirected: status == http.StatusMisdirectedRequest,
 		HasStamp:    h.Get("X-Stamp") != "",
+		Leaving:     h.Get("X-Leaving") != "",
 	}
 }
 
--- a/internal/ingress/report_test.go
+++ b/internal/ingress/report_test.go
@@ -121,3 +121,20 @@
 	writeEvents(c, 1, 2)
 	resetConn(c)
 }
+
+// TestResponseToAnotherRequestSaysNothingOfItsEndpoint guards against an earlier response whose state of the endpoint is taken for the present one.
+func TestResponseToAnotherRequestSaysNothingOfItsEndpoint(t *testing.T) {
+	ts := startTestServer(t, func(_ int, c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Id: other\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	if g := ts.send("POST", "non-idempotent", ""); g.status != http.StatusBadGateway {
+		t.Errorf("status %d, %v", g.status, g.err)
+	}
+	ts.control.Do(func(st *control.State, now boottime.Instant) {
+		for _, e := range st.Dump(now).Endpoints {
+			if e.Leaving {
+				t.Errorf("%s counts as leaving", e.ID)
+			}
+		}
+	})
+}
