--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -37,7 +37,11 @@
 }
 
 // end marks the end of the head.
-func (h *headReader) end() { h.left, h.ended, h.raw = math.MaxInt64, true, bytes.Buffer{} }
+func (h *headReader) end() {
+	h.left = math.MaxInt64
+	h.ended = true
+	h.raw = bytes.Buffer{}
+}
 
 // Read implements io.Reader.
 func (h *headReader) Read(b []byte) (int, error) {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -152,7 +152,7 @@
 	a.status = resp.Status
 	meta := a.s.codec.ReadResponse(resp.Status, resp.Header)
 	d := delivery{maybeSent: true, mayHaveRun: true}
-	if a.err = a.extraResponse(resp, &meta); a.err != nil {
+	if a.err = a.checkIdentity(resp, &meta); a.err != nil {
 		return d
 	}
 	misdirected := meta.Misdirected && meta.Endpoint != a.placed.Endpoint
@@ -178,9 +178,9 @@
 	return d
 }
 
-// extraResponse returns an error if a response is or may be an extra one, so that the request may run: if it names another request, or if it
+// checkIdentity returns an error if a response is or may be an extra one, so that the request may run: if it names another request, or if it
 // states that the request has not run and names none, on a connection on which another response came before.
-func (a *attempt) extraResponse(resp *exchange.Response, meta *ResponseMetadata) error {
+func (a *attempt) checkIdentity(resp *exchange.Response, meta *ResponseMetadata) error {
 	switch {
 	case meta.RequestID == a.meta.ID:
 		return nil
--- a/internal/soak/broken.go
+++ b/internal/soak/broken.go
@@ -53,26 +53,14 @@
 		return true // the gateway has closed the connection
 	}
 	defer conn.Close()
-	fields := fmt.Sprintf("Response-Stamp: s\r\nRequest-Id: %s\r\n", id)
-	body := fullBody(id)
-	if isStream(kind) {
-		fields += "Content-Type: text/event-stream\r\n"
-		body = streamEvent(id, 1, e.softwareVersion())
-	}
+	fields, body := e.validResponse(kind, id)
 	switch m {
 	case modeEarlyReset:
-		part := body
-		if !isStream(kind) {
-			part = body[:len(body)/2]
-		}
-		respondUnread(conn, "HTTP/1.1 200 OK\r\n"+fields+"\r\n"+part, 0)
+		respondUnread(conn, "HTTP/1.1 200 OK\r\n"+fields+"\r\n"+firstPart(kind, body), 0)
 	case modeEarlyAnswer:
 		respondUnread(conn, fmt.Sprintf("HTTP/1.1 500 X\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body), earlyAnswerTime)
 	case modeBrokenHead:
-		h := fnv.New32()
-		_, _ = io.WriteString(h, id)
-		head := brokenHeads[h.Sum32()%uint32(len(brokenHeads))]
-		_, _ = io.WriteString(conn, strings.Replace(head, "identifying", fields, 1)+body)
+		_, _ = io.WriteString(conn, strings.Replace(brokenHeadFor(id), "identifying", fields, 1)+body)
 	case modeLongEvent:
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+fields+"\r\nid: 1\ndata: "+strings.Repeat("x", longEventBytes))
 		_ = conn.SetReadDeadline(time.Now().Add(longEventTime))
@@ -81,6 +69,30 @@
 	return true
 }
 
+// validResponse returns the fields that identify a valid response, and its body or the first event of its stream.
+func (e *endpoint) validResponse(kind, id string) (fields, body string) {
+	fields = fmt.Sprintf("Response-Stamp: s\r\nRequest-Id: %s\r\n", id)
+	if isStream(kind) {
+		return fields + "Content-Type: text/event-stream\r\n", streamEvent(id, 1, e.softwareVersion())
+	}
+	return fields, fullBody(id)
+}
+
+// firstPart returns the part of a response that comes before a reset: the first event of a stream, or half of a body.
+func firstPart(kind, body string) string {
+	if isStream(kind) {
+		return body
+	}
+	return body[:len(body)/2]
+}
+
+// brokenHeadFor returns the broken head that a request gets.
+func brokenHeadFor(id string) string {
+	h := fnv.New32()
+	_, _ = io.WriteString(h, id) // never fails
+	return brokenHeads[h.Sum32()%uint32(len(brokenHeads))]
+}
+
 // respondUnread sends a response and resets the connection after a delay, whatever of the request has not been read.
 func respondUnread(conn net.Conn, response string, delay time.Duration) {
 	tcp := conn.(*net.TCPConn) // the endpoint's server listens on TCP
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -21,9 +21,8 @@
 
 // Memory of an event in bytes. Its raw bytes and its fields, which are copies of them, may take it twice.
 const (
-	minRawBytes  = 1 << 10                         // initial capacity for raw bytes
-	maxRawBytes  = MaxEventBytes + readBufferBytes // an event that exceeds its bound is noticed after a further read
-	freeRawBytes = 16 << 10                        // of raw bytes, held without a reservation from the budget
+	minRawBytes  = 1 << 10  // initial capacity for raw bytes
+	freeRawBytes = 16 << 10 // of raw bytes, held without a reservation from the budget
 )
 
 // Errors of streams that exceed a bound.
@@ -134,13 +133,13 @@
 	}
 }
 
-// grow makes room for n more raw bytes of the event, and returns false if there is no memory for them.
+// grow makes room for n more raw bytes of the event, which then has at most MaxEventBytes, and returns false if there is no memory for them.
 func (r *Reader) grow(n int) bool {
 	raw := r.event.Raw
 	if len(raw)+n <= cap(raw) {
 		return true
 	}
-	size := min(max(2*cap(raw), len(raw)+n, minRawBytes), maxRawBytes)
+	size := min(max(2*cap(raw), len(raw)+n, minRawBytes), MaxEventBytes)
 	if !r.reserve(size) {
 		return false
 	}
