--- a/internal/soak/broken.go
+++ b/internal/soak/broken.go
@@ -62,7 +62,8 @@
 	case modeBrokenHead:
 		_, _ = io.WriteString(conn, strings.Replace(brokenHeadFor(id), "identifying", fields, 1)+body)
 	case modeLongEvent:
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+fields+"\r\nid: 1\ndata: "+strings.Repeat("x", longEventBytes))
+		event := "id: 1\ndata: " + strings.Repeat("x", longEventBytes)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", fields, len(event), event)
 		_ = conn.SetReadDeadline(time.Now().Add(longEventTime))
 		_, _ = io.Copy(io.Discard, conn)
 	}
