--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -22,7 +22,7 @@
 }
 
 // LatestMix is the mix of new seeds.
-const LatestMix = 7
+const LatestMix = 8
 
 var (
 	faultsOfMix1 = []fault{
@@ -61,7 +61,7 @@
 // mixes are the versions of the mix of faults. From mix 2 on, gateways have one processor each, so that requests wait in
 // the buffers of connections. Mix 4 has mainly ends of endpoints; mix 5 is mix 4 without queries of death;
 // mix 6 is mix 3 with a part of prompts that ends processes, beside contents that do; mix 7 is mix 3 without queries of death, with broken
-// answers, large bodies and planned stops that overlap.
+// answers, large bodies and planned stops that overlap; mix 8 is mix 7 with the queries of death of mix 6.
 var mixes map[int]mix
 
 var oneProcessor = []string{"GOMAXPROCS=1"}
@@ -77,6 +77,7 @@
 		4: {faults: faultsOfMix4, idleTimeout: idleTimeout, environment: oneProcessor, soundCallers: 40, deathCallers: 3, workTime: workTime},
 		6: {faults: faultsOfMix3, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime},
 		7: {faults: faultsOfMix7, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, workTime: workTime, uploadCallers: 6},
+		8: {faults: faultsOfMix7, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime, uploadCallers: 6},
 		5: {faults: faultsOfMix4, idleTimeout: idleTimeout, environment: oneProcessor, soundCallers: 40, workTime: workTime},
 	}
 }
