published: a late answer of changes does not bring back a deleted key

What callers would see: requests at an endpoint that has left. The mirror has no tombstone of a key that it never knew, and took the entry for a new one.

Cause: Mirror.Apply compared a write with the last one of its key only, and not with the covered revision.

Change: writes that are covered are skipped. The mirror holds all writes up to its covered revision, so that nothing is lost.

--- a/internal/published/mirror.go
+++ b/internal/published/mirror.go
@@ -62,6 +62,9 @@
 	if u.Coalesced && u.Revision <= m.covered || EraOf(u.Revision) < EraOf(m.covered) {
 		return nil
 	}
+	if !u.Coalesced {
+		u.Items = m.uncovered(u.Items)
+	}
 	var changes []ItemChange
 	if u.Snapshot {
 		changes = m.deleteUnlisted(u)
@@ -84,6 +87,18 @@
 	return changes
 }
 
+// uncovered returns the writes that have not been applied. The answer to a read may be late: a write that is covered meanwhile
+// may be of a key that was deleted since and has no tombstone.
+func (m *Mirror) uncovered(writes []Item) []Item {
+	var out []Item
+	for _, it := range writes {
+		if it.Revision > m.covered {
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
 // Replace discards the content, whatever its revisions are, and applies a full snapshot. It returns the resulting
 // changes.
 func (m *Mirror) Replace(u Update) []ItemChange {
--- a/internal/published/mirror_test.go
+++ b/internal/published/mirror_test.go
@@ -64,13 +64,7 @@
 				t.Fatalf("revision %d after %d", m.Revision(), before)
 			}
 		}
-		for i, a := range mirrors {
-			for _, b := range mirrors[:i] {
-				if a.Revision() == b.Revision() && contents(a) != contents(b) {
-					t.Fatalf("contents of two mirrors at revision %d differ:\n%s\n%s", a.Revision(), contents(a), contents(b))
-				}
-			}
-		}
+		checkAgreement(t, mirrors)
 	})
 }
 
