msgauth, control: API keys of a stranger are not accepted once the list of workspaces is empty

What callers could see (ROUTE): after a configuration that takes all API keys away, any process that reaches the port between gateways could publish a configuration with a key of its own, and requests with that key ran.

Cause: Keyring.Adopt removed all keys with a configuration that has none. acceptsUpdate then took an update that is signed with the keys that it brings itself, which is meant for the first content of a starting process.

Evidence: TestForgedKeysAfterAnEmptyListAreRefused failed on in both cases, at a gateway that had keys before and at one that has started since.

Change: the former keys stay until there are next ones.

--- /dev/null
+++ b/internal/control/keyless_test.go
@@ -0,0 +1,66 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dandelionvane/dandelionvane/internal/controltest"
+	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
+	"github.com/dandelionvane/dandelionvane/internal/routing"
+	"github.com/dandelionvane/dandelionvane/internal/wire"
+)
+
+// emptyList returns a configuration with an empty list of workspaces, so that no API key is valid.
+func emptyList(version int64) *routing.Config {
+	c := config(version)
+	c.Workspaces = []routing.Workspace{}
+	return c
+}
+
+// forgeKeys sends a gateway a configuration with an API key of a stranger, in a Status and as the answer to a pull.
+func forgeKeys(w *controltest.World, n *controltest.Node) {
+	forged := publishedtest.Config(config(9, "forged"))
+	r := n.State.Revision() + 9
+	u := wire.StoreUpdate{Revision: r, After: n.State.Revision(), Items: storeItems(r, forged)}
+	stateWith(w.Now(), forged).SignItems(w.Now(), &u, 0)
+	n.State.Receive(w.Now(), stranger, 666, wire.Status{Timestamp: 1, Revision: u.Revision, Hello: strangerHello, Update: &u})
+	n.State.PullDone(w.Now(), stranger, u, w.Now())
+}
+
+// TestForgedKeysAfterAnEmptyListAreRefused guards against API keys of a stranger that are accepted once a configuration has taken all
+// keys away (ROUTE): by a gateway that had them, and by one that has started since.
+func TestForgedKeysAfterAnEmptyListAreRefused(t *testing.T) {
+	for name, restarted := range map[string]bool{"a gateway that had the keys": false, "a gateway that has started since": true} {
+		t.Run(name, func(t *testing.T) {
+			w := smallFleet(t)
+			n := w.Nodes[4]
+			w.Write(publishedtest.Config(emptyList(2)))
+			w.Run(2 * time.Second)
+			if restarted {
+				n.RestartAfter(0)
+				w.Run(3 * time.Second)
+			}
+			forgeKeys(w, n)
+			if v := n.State.Dump(w.Now()).Store.ConfigVersion; v != 2 {
+				t.Errorf("configuration %d, want 2", v)
+			}
+		})
+	}
+}
+
+// TestKeysAfterAnEmptyListAreInForce guards against gateways that refuse the next configuration with keys for longer than a
+// configuration may take.
+func TestKeysAfterAnEmptyListAreInForce(t *testing.T) {
+	w := smallFleet(t)
+	w.Write(publishedtest.Config(emptyList(2)))
+	w.Run(2 * time.Second)
+	w.Nodes[4].RestartAfter(0)
+	w.Run(3 * time.Second)
+	w.Write(publishedtest.Config(config(3, "new")))
+	w.Run(changeBound)
+	for _, n := range w.Nodes {
+		if v := n.State.Dump(w.Now()).Store.ConfigVersion; v != 3 {
+			t.Errorf("%s has configuration %d, want 3", n.ID, v)
+		}
+	}
+}
--- a/internal/control/trust.go
+++ b/internal/control/trust.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
@@ -15,8 +17,9 @@
 // Which changes of the store are accepted from peers:
 //
 // Anyone can become a member and send a Status or answer a pull. A process whose configuration has API keys therefore
-// accepts changes only with a signature by one of its keys (package msgauth). A process without a configuration has no
-// key. It accepts the first one from any peer, because it must become ready while the store cannot be read; the
+// accepts changes only with a signature by one of its keys (package msgauth), which stay if a configuration takes all API keys
+// away. A process whose content has never had API keys takes the first ones from the store only. A process without
+// content has no key. It accepts the first one from any peer, because it must become ready while the store cannot be read; the
 // signature must then be of the key of that configuration itself, so that whoever signed knew all its API keys.
 //
 // This content is unproven until a seed, whose address is in the settings, names the same key. If the seed names
@@ -56,6 +59,9 @@
 	}
 }
 
+// errKeysFromPeer reports the first API keys in an update of a peer. Anyone could have made them up.
+var errKeysFromPeer = errors.New("control: the first API keys are read from the store only")
+
 // acceptsUpdate reports whether an update of a peer may be applied.
 func (s *State) acceptsUpdate(now boottime.Instant, from fleet.InstanceID, m *wire.StoreUpdate) bool {
 	if s.trust.disputed && !s.trust.proven {
@@ -64,9 +70,13 @@
 	ring := s.trust.ring
 	if !ring.HasKey() {
 		ring = s.ringOf(now, publishedItems(m.Items))
-	}
-	if !ring.HasKey() {
-		return true // no API keys are known, and the update has none
+		if !ring.HasKey() {
+			return true // no API keys are known, and the update has none
+		}
+		if s.mirror.Revision() != 0 {
+			s.log(event.PeerRefused, "peer", from, "revision", m.Revision, "items", len(m.Items), "err", errKeysFromPeer.Error())
+			return false
+		}
 	}
 	err := verifyUpdate(now, ring, m)
 	if err != nil {
--- a/internal/msgauth/keyring.go
+++ b/internal/msgauth/keyring.go
@@ -47,13 +47,11 @@
 // NewKeyring returns a Keyring without keys.
 func NewKeyring(o KeyringOptions) *Keyring { return &Keyring{opts: o} }
 
-// Adopt makes the key of a configuration the present one. A configuration with the same API keys changes nothing. One
-// without API keys, or whose key cannot be derived, removes all keys: nothing can be signed or verified then. The
-// error reports that the key cannot be derived.
+// Adopt makes the key of a configuration the present one. A configuration with the same API keys changes nothing, and neither does
+// one without API keys: without a key, the next ones could be anyone's. The error reports that the key cannot be derived.
 func (r *Keyring) Adopt(now boottime.Instant, c *routing.Config) error {
 	secret, err := deriveKey(c)
 	if secret == nil {
-		r.keys = nil
 		return err
 	}
 	next := derivedKey{id: keyID(secret), secret: secret, adopted: now}
