--- a/internal/published/mirror.go
+++ b/internal/published/mirror.go
@@ -62,7 +62,7 @@
 	if u.Coalesced && u.Revision <= m.covered || EraOf(u.Revision) < EraOf(m.covered) {
 		return nil
 	}
-	if !u.Coalesced {
+	if !u.Coalesced && m.covered != 0 {
 		u.Items = m.uncovered(u.Items)
 	}
 	var changes []ItemChange
