routing: an empty API key is none

Not seen at callers; found while trying the forms of the list of workspaces.

Cause: the table of keys held the empty key, which is what a request without a key presents.

Change: the table holds no empty key.

--- a/internal/control/keyless_test.go
+++ b/internal/control/keyless_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/controltest"
 	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
@@ -64,3 +65,29 @@
 		}
 	}
 }
+
+// TestEmptyKeyIsNoKey guards against a workspace with an empty key whose name requests without a key get.
+func TestEmptyKeyIsNoKey(t *testing.T) {
+	w := smallFleet(t)
+	w.Write(publishedtest.Config(config(2, "key", "")))
+	w.Run(2 * time.Second)
+	n := w.Nodes[0]
+	expectReason(t, w, n, "", control.ReasonUnauthenticated)
+	expectReason(t, w, n, "key", control.ReasonNone)
+}
+
+// expectReason sends a request with a key to a gateway and fails the test unless it is refused for the given reason, or none.
+func expectReason(t *testing.T, w *controltest.World, n *controltest.Node, key string, want control.Reason) {
+	t.Helper()
+	answered := false
+	n.Send(controltest.Request{Host: "h", Path: "/chat/x", Key: key}, func(o controltest.Outcome) {
+		answered = true
+		if o.Reason != want {
+			t.Errorf("key %q: reason %v, want %v", key, o.Reason, want)
+		}
+	})
+	w.Run(3 * time.Second)
+	if !answered {
+		t.Errorf("key %q: no response", key)
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -42,6 +42,7 @@
 			t.workspacesByKey[k] = w
 		}
 	}
+	delete(t.workspacesByKey, "") // requests without a key have this one
 	t.ranks = rankPriorities(c)
 	return t
 }
