control: a key that no workspace holds is refused, also without a list of workspaces

What callers could see (ROUTE, CONFIG): after a configuration without a list of workspaces, or with null in its place, requests ran with keys that it had taken away, and with keys that no configuration ever held.

Cause: authorize looked at no key where none is required.

Configurations with a list are handled as before.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -165,10 +165,11 @@
 	return s.authorize(now, key != "", s.table.Workspace(key), ad)
 }
 
-// authorize is authenticate for a key that belongs to a workspace, or to none if w is nil.
+// authorize is authenticate for a key that belongs to a workspace, or to none if w is nil. Such a key is refused also where none is
+// required: the configuration may have taken it away with the list of workspaces.
 func (s *State) authorize(now boottime.Instant, hasKey bool, w *routing.Workspace, ad *Admission) Reason {
 	ad.Priority = s.table.Priority(nil, ad.Route, false)
-	if !s.table.KeysRequired() || ad.Route.Public && !hasKey {
+	if !hasKey && (ad.Route.Public || !s.table.KeysRequired()) {
 		return ReasonNone
 	}
 	if !s.freshEnoughForAuth(now) {
--- a/internal/control/keyless_test.go
+++ b/internal/control/keyless_test.go
@@ -66,6 +66,20 @@
 	}
 }
 
+// TestKeysWithoutListAreRefused guards against a configuration without a list of workspaces that admits keys which were taken away, or
+// which no configuration ever held (ROUTE). Requests without a key are served.
+func TestKeysWithoutListAreRefused(t *testing.T) {
+	w := smallFleet(t)
+	missing := config(2)
+	missing.Workspaces = nil
+	w.Write(publishedtest.Config(missing))
+	w.Run(2 * time.Second)
+	n := w.Nodes[0]
+	expectReason(t, w, n, "key", control.ReasonUnauthenticated)
+	expectReason(t, w, n, "forged", control.ReasonUnauthenticated)
+	expectReason(t, w, n, "", control.ReasonNone)
+}
+
 // TestEmptyKeyIsNoKey guards against a workspace with an empty key whose name requests without a key get.
 func TestEmptyKeyIsNoKey(t *testing.T) {
 	w := smallFleet(t)
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -90,7 +90,7 @@
 	Version    int64
 	Routes     []Route
 	Services   []Service
-	Workspaces []Workspace // nil: requests need no key; empty: none is valid
+	Workspaces []Workspace // nil: requests need no key, and none is valid; empty: none is valid
 	Limits     Limits
 }
 
