sse, ingress: text that is no event does not end a stream as complete

Cause: sse.Reader took any line for a field and skipped those that it does not know. A block of such lines, an error's head or a page, was dropped, and the end of the connection behind it was the end of the stream. Inside an event the lines were passed on with it.

Change: the gateway reads streams with a strict reader. A line that is no field, an unknown field behind a known one, or a block of unknown fields only, ends the attempt like an event out of order. Comments, retry and unknown fields that begin an event stay sound (TestSoundLinesOfStreams).

What held already, with tests now: other failures of the next endpoint (TestFailureOfTheNextEndpointIsNotInTheStream), and answers that stop inside their head (TestAnswerCutInsideItsHeadIsNoAnswer).

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -111,9 +111,9 @@
 }
 
 // forwardStream forwards the events of a stream as they arrive. It forwards only complete
-// events with consecutive numbers, and reports whether the stream ended normally.
+// events with consecutive numbers, ends the attempt at text that is no event, and reports whether the stream ended normally.
 func (a *attempt) forwardStream(resp *exchange.Response) bool {
-	r := sse.NewBudgetReader(resp.Body, &a.s.memory.responses)
+	r := sse.NewStrictReader(resp.Body, &a.s.memory.responses)
 	defer r.Release()
 	for {
 		ev, err := r.Next()
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -31,6 +31,9 @@
 	ErrTooMuchBetweenEvents = errors.New("sse: too many bytes between events")
 )
 
+// ErrForeignLine reports a line that is not part of any event, in a stream that is read by a strict Reader.
+var ErrForeignLine = errors.New("sse: a line is not part of an event")
+
 // Event is one server-sent event. Its fields are valid until the next call of Next.
 type Event struct {
 	ID   []byte
@@ -44,6 +47,8 @@
 	src      *bufio.Reader
 	event    Event
 	hasField bool // the current event has a field
+	strict   bool
+	unknown  bool // the current event has a field that this package does not know
 	budget   *bytebudget.Budget
 	reserved int64 // of the budget
 }
@@ -60,10 +65,19 @@
 	return r
 }
 
+// NewStrictReader returns a NewBudgetReader for a stream whose events are passed on as they are. The format has a reader skip the
+// fields that it does not know. In a strict stream they may only begin an event: anything else is likely another response, or text,
+// that its sender has written into the stream.
+func NewStrictReader(src io.Reader, b *bytebudget.Budget) *Reader {
+	r := NewBudgetReader(src, b)
+	r.strict = true
+	return r
+}
+
 // Next returns the next complete event. It returns io.EOF at the end of the stream,
 // io.ErrUnexpectedEOF if the stream ends within an event, ErrTooLarge or ErrTooMuchBetweenEvents
-// if it exceeds a bound, and bytebudget.ErrExhausted if there is no memory for a large event; nothing
-// can be read after an error.
+// if it exceeds a bound, bytebudget.ErrExhausted if there is no memory for a large event, and
+// ErrForeignLine from a strict Reader; nothing can be read after an error.
 func (r *Reader) Next() (Event, error) {
 	r.reset()
 	skipped := 0 // bytes since the last event
@@ -76,12 +90,17 @@
 			return Event{}, err
 		}
 		if len(line) > 0 {
-			r.parseField(line)
+			if known := r.parseField(line); !known && r.isForeign(line) {
+				return Event{}, ErrForeignLine
+			}
 			continue
 		}
 		if r.hasField {
 			return r.event, nil
 		}
+		if r.strict && r.unknown {
+			return Event{}, ErrForeignLine
+		}
 		if skipped += len(r.event.Raw); skipped > MaxBytesBetweenEvents {
 			return Event{}, ErrTooMuchBetweenEvents
 		}
@@ -91,7 +110,7 @@
 
 // reset begins another event. The memory of a large one is returned.
 func (r *Reader) reset() {
-	r.hasField = false
+	r.hasField, r.unknown = false, false
 	if cap(r.event.Raw) > freeRawBytes {
 		r.Release()
 		return
@@ -160,7 +179,8 @@
 	return true
 }
 
-func (r *Reader) parseField(line []byte) {
+// parseField adds the field of a line to the event, and reports whether the format knows the line.
+func (r *Reader) parseField(line []byte) bool {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
@@ -170,10 +190,28 @@
 		r.event.Name = append(r.event.Name[:0], value...)
 	case "data":
 		r.appendData(value)
+	case "", "retry": // a comment, and the time after which a reader may reconnect
+		return true
 	default:
-		return
+		r.unknown = true
+		return false
 	}
 	r.hasField = true
+	return true
+}
+
+// isForeign reports whether a line that the format does not know can't be in a strict stream: it is no field, or does not begin an event.
+func (r *Reader) isForeign(line []byte) bool {
+	return r.strict && (r.hasField || !hasFieldName(line))
+}
+
+// hasFieldName reports whether a line begins with the name of a field, of letters, digits, hyphens and underscores, and a colon.
+func hasFieldName(line []byte) bool {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	isOther := func(c rune) bool {
+		return (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_'
+	}
+	return found && !bytes.ContainsFunc(name, isOther)
 }
 
 func (r *Reader) appendData(value []byte) {
