--- a/internal/soak/broken.go
+++ b/internal/soak/broken.go
@@ -39,13 +39,25 @@
 // brokenModes are the modes of endpoints whose answers are broken, or come early.
 var brokenModes = []mode{modeEarlyReset, modeEarlyReset, modeEarlyAnswer, modeBrokenHead, modeBrokenHead, modeLongEvent}
 
+// foreignTexts are texts that are no events of a stream, each with the blank line that would end one.
+var foreignTexts = []string{
+	"HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nbusy\r\n\r\n",
+	"Content-Length: 4\r\n\r\n",
+	"the endpoint has failed\n\n",
+	"{\"error\": \"the endpoint has failed\"}\n\n",
+	"id: 2\ndata: x\nHTTP/1.1 503 X\r\n\r\n",
+}
+
+// foreignLines has an endpoint end its streams with text that is no event.
+func (r *run) foreignLines(d time.Duration) { r.misbehave(r.pickEndpoint(), modeForeignLines, d) }
+
 func (r *run) brokenEndpoint(d time.Duration) {
 	r.misbehave(r.pickEndpoint(), brokenModes[r.rng.IntN(len(brokenModes))], d)
 }
 
 // respondBroken sends the response of a mode that writes to the connection itself, and reports whether the mode is such a mode.
 func (e *endpoint) respondBroken(w http.ResponseWriter, m mode, kind, id string) bool {
-	if !slices.Contains(brokenModes, m) {
+	if m != modeForeignLines && !slices.Contains(brokenModes, m) {
 		return false
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -60,7 +72,12 @@
 	case modeEarlyAnswer:
 		respondUnread(conn, fmt.Sprintf("HTTP/1.1 500 X\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body), earlyAnswerTime)
 	case modeBrokenHead:
-		_, _ = io.WriteString(conn, strings.Replace(brokenHeadFor(id), "identifying", fields, 1)+body)
+		_, _ = io.WriteString(conn, strings.Replace(pickFor(id, brokenHeads), "identifying", fields, 1)+body)
+	case modeForeignLines:
+		if isStream(kind) {
+			body += pickFor(id, foreignTexts)
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n%s", fields, body)
 	case modeLongEvent:
 		event := "id: 1\ndata: " + strings.Repeat("x", longEventBytes)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", fields, len(event), event)
@@ -87,11 +104,11 @@
 	return body[:len(body)/2]
 }
 
-// brokenHeadFor returns the broken head that a request gets.
-func brokenHeadFor(id string) string {
+// pickFor returns the text, of several, that a request gets.
+func pickFor(id string, texts []string) string {
 	h := fnv.New32()
 	_, _ = io.WriteString(h, id) // never fails
-	return brokenHeads[h.Sum32()%uint32(len(brokenHeads))]
+	return texts[h.Sum32()%uint32(len(texts))]
 }
 
 // respondUnread sends a response and resets the connection after a delay, whatever of the request has not been read.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,6 +16,7 @@
 	maxFaultDuration  = 5 * time.Second        // upper bound of the random part of the duration of a fault
 	contactDelay      = 3 * time.Second        // after the end of a disturbance of the store or its links within which it may explain an outcome
 	resetDuration     = 20 * time.Millisecond  // for which connections to an endpoint that are reset can't be opened again
+	maxLateStore      = 450 * time.Millisecond // delay of the store in each direction; it is read within a second
 	republishDelay    = 500 * time.Millisecond // from the store's return with an older copy until it has what it lost
 )
 
@@ -78,6 +79,23 @@
 	})
 }
 
+// startWithLateStore kills a gateway and starts it again while the store's answers to it are late. The configuration changes meanwhile.
+func (r *run) startWithLateStore(d time.Duration) {
+	g, late := r.pickGateway(), time.Duration(r.rng.Int64N(int64(maxLateStore)))
+	r.logFault("%s: killed, the store's answers to it are %v late for %v", g.name, 2*late, d)
+	g.markDisturbed()
+	end := r.beginStoreAway(g.name)
+	g.storeLink.Inject(link.Faults{Delay: late})
+	r.killFor(g, 0)
+	r.runAfter(d, func() {
+		g.markDisturbed()
+		g.storeLink.Inject(link.Faults{})
+		end()
+	})
+	r.moveRoute(d)
+	r.rotateKey(d)
+}
+
 // killHalf kills half of the gateways at once, so that callers resume many streams at the others.
 func (r *run) killHalf(d time.Duration) {
 	r.logFault("half of the gateways: killed")
--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -22,7 +22,7 @@
 }
 
 // LatestMix is the mix of new seeds.
-const LatestMix = 8
+const LatestMix = 9
 
 var (
 	faultsOfMix1 = []fault{
@@ -56,12 +56,17 @@
 		(*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint, (*run).brokenEndpoint,
 		(*run).overlappingStops, (*run).overlappingStops, (*run).overlappingStops,
 	)
+	faultsOfMix9 = append(slices.Clone(faultsOfMix7),
+		(*run).foreignLines, (*run).foreignLines, (*run).foreignLines, (*run).foreignLines, (*run).foreignLines, (*run).foreignLines,
+		(*run).startWithLateStore, (*run).startWithLateStore, (*run).startWithLateStore, (*run).startWithLateStore, (*run).startWithLateStore, (*run).startWithLateStore,
+	)
 )
 
 // mixes are the versions of the mix of faults. From mix 2 on, gateways have one processor each, so that requests wait in
 // the buffers of connections. Mix 4 has mainly ends of endpoints; mix 5 is mix 4 without queries of death;
 // mix 6 is mix 3 with a part of prompts that ends processes, beside contents that do; mix 7 is mix 3 without queries of death, with broken
-// answers, large bodies and planned stops that overlap; mix 8 is mix 7 with the queries of death of mix 6.
+// answers, large bodies and planned stops that overlap; mix 8 is mix 7 with the queries of death of mix 6; mix 9 is mix 7 with text that
+// is no event in streams, and starts of gateways while the store's answers are late.
 var mixes map[int]mix
 
 var oneProcessor = []string{"GOMAXPROCS=1"}
@@ -78,6 +83,7 @@
 		6: {faults: faultsOfMix3, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime},
 		7: {faults: faultsOfMix7, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, workTime: workTime, uploadCallers: 6},
 		8: {faults: faultsOfMix7, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime, uploadCallers: 6},
+		9: {faults: faultsOfMix9, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, workTime: workTime, uploadCallers: 6},
 		5: {faults: faultsOfMix4, idleTimeout: idleTimeout, environment: oneProcessor, soundCallers: 40, workTime: workTime},
 	}
 }
--- a/internal/soak/modes.go
+++ b/internal/soak/modes.go
@@ -30,6 +30,7 @@
 	modeEarlyAnswer                        // executes the request, answers a whole 500 with a length before it has read it, and resets the connection
 	modeBrokenHead                         // executes the request and sends a head that is not valid
 	modeLongEvent                          // executes the request and sends a part of a long event
+	modeForeignLines                       // executes the request and ends a stream with text that is no event
 )
 
 const (
@@ -49,6 +50,7 @@
 	modeHealthy: "sound", modeFailing: "failing", modeClosing: "closing", modeHanging: "hanging", modeTruncating: "truncating the response",
 	modePausing: "pausing", modeLeaving: "leaving", modeEndlessHead: "endless head", modeEndlessBody: "endless body", modeEndlessComments: "endless comments",
 	modeEarlyReset: "reset during the upload", modeEarlyAnswer: "early answer", modeBrokenHead: "broken head", modeLongEvent: "long event",
+	modeForeignLines: "foreign lines",
 }
 
 func (m mode) String() string { return modeNames[m] }
@@ -58,7 +60,7 @@
 	switch m {
 	case modeFailing, modeEarlyAnswer:
 		return endpointFailing
-	case modeClosing, modeTruncating, modeEndlessHead, modeEndlessBody, modeEndlessComments, modeEarlyReset, modeBrokenHead, modeLongEvent:
+	case modeClosing, modeTruncating, modeEndlessHead, modeEndlessBody, modeEndlessComments, modeEarlyReset, modeBrokenHead, modeLongEvent, modeForeignLines:
 		return endpointBroken
 	case modeHanging:
 		return endpointSilent
