--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -22,7 +22,7 @@
 }
 
 // LatestMix is the mix of new seeds.
-const LatestMix = 9
+const LatestMix = 10
 
 var (
 	faultsOfMix1 = []fault{
@@ -66,7 +66,7 @@
 // the buffers of connections. Mix 4 has mainly ends of endpoints; mix 5 is mix 4 without queries of death;
 // mix 6 is mix 3 with a part of prompts that ends processes, beside contents that do; mix 7 is mix 3 without queries of death, with broken
 // answers, large bodies and planned stops that overlap; mix 8 is mix 7 with the queries of death of mix 6; mix 9 is mix 7 with text that
-// is no event in streams, and starts of gateways while the store's answers are late.
+// is no event in streams, and starts of gateways while the store's answers are late; mix 10 is mix 9 with the queries of death of mix 6.
 var mixes map[int]mix
 
 var oneProcessor = []string{"GOMAXPROCS=1"}
@@ -76,14 +76,15 @@
 
 func init() { // the faults refer to mixes
 	mixes = map[int]mix{
-		1: {faults: faultsOfMix1},
-		2: {faults: faultsOfMix2, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor},
-		3: {faults: faultsOfMix3, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, workTime: workTime},
-		4: {faults: faultsOfMix4, idleTimeout: idleTimeout, environment: oneProcessor, soundCallers: 40, deathCallers: 3, workTime: workTime},
-		6: {faults: faultsOfMix3, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime},
-		7: {faults: faultsOfMix7, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, workTime: workTime, uploadCallers: 6},
-		8: {faults: faultsOfMix7, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime, uploadCallers: 6},
-		9: {faults: faultsOfMix9, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, workTime: workTime, uploadCallers: 6},
-		5: {faults: faultsOfMix4, idleTimeout: idleTimeout, environment: oneProcessor, soundCallers: 40, workTime: workTime},
+		1:  {faults: faultsOfMix1},
+		2:  {faults: faultsOfMix2, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor},
+		3:  {faults: faultsOfMix3, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, workTime: workTime},
+		4:  {faults: faultsOfMix4, idleTimeout: idleTimeout, environment: oneProcessor, soundCallers: 40, deathCallers: 3, workTime: workTime},
+		6:  {faults: faultsOfMix3, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime},
+		7:  {faults: faultsOfMix7, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, workTime: workTime, uploadCallers: 6},
+		8:  {faults: faultsOfMix7, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime, uploadCallers: 6},
+		9:  {faults: faultsOfMix9, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, workTime: workTime, uploadCallers: 6},
+		10: {faults: faultsOfMix9, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime, uploadCallers: 6},
+		5:  {faults: faultsOfMix4, idleTimeout: idleTimeout, environment: oneProcessor, soundCallers: 40, workTime: workTime},
 	}
 }
