control: the adoption of content, eras and evacuations leave freshness.go

Moves without a change, with doc comments; tests of mirrors share their beginning, and the test of late reads names the change that takes keys away.

--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -7,7 +7,6 @@
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/published"
-	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
 
 const (
@@ -17,10 +16,6 @@
 	// reregistrationGrace is how long after the store's recovery an endpoint whose entry is missing
 	// stays usable: entries expire during an outage, and endpoints need this time to renew them.
 	reregistrationGrace = 2200 * time.Millisecond
-	// republishTime is how long after the store's return with an older copy of its content the operator and the
-	// endpoints publish again what it has lost. Entries in the copy of endpoints that have left expire within
-	// this time.
-	republishTime = 5 * time.Second
 	// revisionWithholdTimeout is how long a process that has read a full snapshot withholds its
 	// revision from peers while it waits for a peer to report the revision of the last relevant
 	// change, which is one other than a heartbeat. It covers two reads by peers and the delivery
@@ -68,13 +63,6 @@
 // relevant changes would pull for it.
 func (s *State) noteFullSnapshot(now boottime.Instant) { s.fullSnapshotAt = now }
 
-// firstOfEra reports whether the mirror has reached an era since it had a revision, while no peer has reported one of
-// that era. The peers then lack what the full snapshot contains.
-func (s *State) firstOfEra(before fleet.Revision) bool {
-	era := published.EraOf(s.mirror.Revision())
-	return before != 0 && published.EraOf(before) < era && s.freshness.peersEra < era
-}
-
 // lowerRevision lowers the revision of a full snapshot to the peer's, if the read that the peer
 // reports was sent after this process's last read ended. The peer then holds all changes that the full
 // snapshot contains, and no relevant one of them has a higher revision than the peer's.
@@ -113,27 +101,6 @@
 	return s.SnapshotAge(now) <= s.opts.AuthStalenessBound
 }
 
-// apply applies an update of the store's items to the mirror and the state derived from it.
-func (s *State) apply(now boottime.Instant, u published.Update) { s.applyWith(now, u, s.mirror.Apply) }
-
-// applyWith is apply with the method of the mirror that applies the update.
-func (s *State) applyWith(now boottime.Instant, u published.Update, apply func(published.Update) []published.ItemChange) {
-	before := s.mirror.Revision()
-	if before == 0 {
-		s.beginVersions(now)
-	} else if u.Coalesced {
-		s.noteGap(now, s.lastConfirmedBefore(u), u)
-	}
-	if before != 0 && published.EraOf(u.Revision) > published.EraOf(s.mirror.CoveredRevision()) {
-		s.beginEra(now, u.Revision)
-	}
-	changes := apply(u)
-	if s.mirror.Revision() != before {
-		s.recentChanges = s.changesForStatus(before)
-	}
-	s.adoptChanges(now, changes)
-}
-
 // lastConfirmedBefore returns when the content before an update was last confirmed. A read has been noted before it is applied.
 func (s *State) lastConfirmedBefore(u published.Update) boottime.Instant {
 	if u.Confirmed != 0 && u.Confirmed == s.freshness.confirmedAt {
@@ -141,69 +108,3 @@
 	}
 	return s.freshness.confirmedAt
 }
-
-func (s *State) adoptChanges(now boottime.Instant, changes []published.ItemChange) {
-	for _, c := range changes {
-		if c.Err != nil {
-			s.log(event.ItemUnreadable, "key", c.Key, "err", c.Err.Error())
-		}
-		s.contain("adopt", func() { s.adopt(now, c.Record) }, "key", c.Key)
-	}
-	if len(changes) > 0 {
-		s.indexServices()
-	}
-}
-
-func (s *State) adopt(now boottime.Instant, r published.Record) {
-	switch r := r.(type) {
-	case published.Config:
-		s.table = routing.NewTable(r.Config)
-		s.adoptKey(now, r.Config)
-		s.adoptStreamLifetime(now, r.Config)
-		s.log(event.ConfigAdopted, "version", r.Config.Version, "revision", s.mirror.Revision(),
-			"age_ms", s.SnapshotAge(now).Milliseconds(), "routes", len(r.Config.Routes))
-	case published.Evacuation:
-		s.adoptEvacuation(now, r)
-	case published.Endpoint:
-		s.adoptEndpoint(now, r.Endpoint)
-	case published.EndpointGone:
-		s.unlistEndpoint(now, r.ID)
-	}
-}
-
-// beginEra handles the return of the store with an older copy of its content. For republishTime, what the copy lacks
-// is not taken for deleted, and what it has again is not taken for published.
-func (s *State) beginEra(now boottime.Instant, revision fleet.Revision) {
-	s.freshness.eraSince = now
-	s.freshness.recoveredAt = now
-	s.log(event.StoreRestored, "era", published.EraOf(revision), "revision", published.StoreRevision(revision))
-}
-
-// eraIsNew reports whether the store returned with an older copy less than republishTime ago.
-func (s *State) eraIsNew(now boottime.Instant) bool {
-	return s.freshness.eraSince != 0 && now.Sub(s.freshness.eraSince) < republishTime
-}
-
-// tickEvacuations ends the evacuations that the operator has not published again after an older copy lacked them.
-func (s *State) tickEvacuations(now boottime.Instant) {
-	if s.eraIsNew(now) {
-		return
-	}
-	for dc := range s.unconfirmedEvacuations {
-		delete(s.unconfirmedEvacuations, dc)
-		s.adoptEvacuation(now, published.Evacuation{DataCentre: dc, Ended: true})
-	}
-}
-
-func (s *State) adoptEvacuation(now boottime.Instant, e published.Evacuation) {
-	if e.Ended && s.eraIsNew(now) {
-		s.unconfirmedEvacuations[e.DataCentre] = true
-		return
-	}
-	delete(s.unconfirmedEvacuations, e.DataCentre)
-	if s.evacuated[e.DataCentre] == !e.Ended {
-		return
-	}
-	s.evacuated[e.DataCentre] = !e.Ended
-	s.log(event.DataCentreState, "data_centre", e.DataCentre, "out", !e.Ended, "revision", s.mirror.Revision())
-}
--- a/internal/control/late_read_test.go
+++ b/internal/control/late_read_test.go
@@ -8,16 +8,16 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/controltest"
-	"github.com/dandelionvane/dandelionvane/internal/published"
 	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
 )
 
 // change is a write to the store and the sign that a gateway has it in force.
 type change struct {
-	name    string
-	write   func(w *controltest.World)
-	inForce func(w *controltest.World, s *control.State) bool
+	name        string
+	write       func(w *controltest.World)
+	inForce     func(w *controltest.World, s *control.State) bool
+	withoutKeys bool // it takes all API keys away, and a gateway that has started needs none
 }
 
 // changesOfEachKind returns a change of each kind of content that callers notice.
@@ -25,15 +25,15 @@
 	moved := config(2, "key")
 	moved.Routes[2].Targets = []routing.Target{{Service: llm, Weight: 1}}
 	return []change{
-		{"a configuration that moves a route", func(w *controltest.World) { w.Write(publishedtest.Config(moved)) }, hasVersion(2)},
-		{"a configuration that adds a key", func(w *controltest.World) { w.Write(publishedtest.Config(config(2, "key", "added"))) }, hasVersion(2)},
-		{"a configuration without keys", func(w *controltest.World) { w.Write(publishedtest.Config(config(2))) }, hasVersion(2)},
+		{"a configuration that moves a route", func(w *controltest.World) { w.Write(publishedtest.Config(moved)) }, hasVersion(2), false},
+		{"a configuration that adds a key", func(w *controltest.World) { w.Write(publishedtest.Config(config(2, "key", "added"))) }, hasVersion(2), false},
+		{"a configuration without keys", func(w *controltest.World) { w.Write(publishedtest.Config(config(2))) }, hasVersion(2), true},
 		{"an evacuation", func(w *controltest.World) { w.Write(publishedtest.Evacuation("b")) }, func(w *controltest.World, s *control.State) bool {
 			return slices.Contains(s.Dump(w.Now()).Evacuated, "b")
-		}},
+		}, false},
 		{"the removal of an endpoint", func(w *controltest.World) { w.Remove("engine-4") }, func(w *controltest.World, s *control.State) bool {
 			return !slices.ContainsFunc(s.Dump(w.Now()).Endpoints, func(e control.EndpointDump) bool { return e.ID == "engine-4" && e.Usable })
-		}},
+		}, false},
 	}
 }
 
@@ -81,18 +81,7 @@
 	if !seen {
 		t.Error("not in force after two seconds")
 	}
-	if n.State.Fingerprints(w.Now()) == nil && !hasNoKeys(w) {
+	if n.State.Fingerprints(w.Now()) == nil && !c.withoutKeys {
 		t.Error("the content is unproven after two seconds")
 	}
 }
-
-// hasNoKeys reports whether the configuration in the store has no API keys.
-func hasNoKeys(w *controltest.World) bool {
-	for _, it := range w.Store.Update(true, 0).Items {
-		record, err := publishedtest.Protocol{}.DecodeItem(it)
-		if c, ok := record.(published.Config); ok && err == nil {
-			return len(c.Config.Workspaces[0].Keys) == 0
-		}
-	}
-	return true
-}
--- a/internal/published/late_test.go
+++ b/internal/published/late_test.go
@@ -41,10 +41,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store := publishedtest.NewStore()
 		configVersion := int64(1)
-		mirrors := make([]*published.Mirror, 3)
-		for i := range mirrors {
-			mirrors[i] = published.NewMirror(publishedtest.Protocol{})
-		}
+		mirrors := newMirrors(3)
 		var flights []flight
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			m := mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "mirror")]
--- a/internal/published/mirror_test.go
+++ b/internal/published/mirror_test.go
@@ -27,6 +27,15 @@
 	return out
 }
 
+// newMirrors returns n empty mirrors.
+func newMirrors(n int) []*published.Mirror {
+	out := make([]*published.Mirror, n)
+	for i := range out {
+		out[i] = published.NewMirror(publishedtest.Protocol{})
+	}
+	return out
+}
+
 // TestMirrorsAgree lets mirrors read the store and one another in random order. The revision of a
 // mirror must not decrease except by LowerRevision, and mirrors at the same revision must have the
 // same content.
@@ -34,10 +43,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store := publishedtest.NewStore()
 		configVersion := int64(1)
-		mirrors := make([]*published.Mirror, 3)
-		for i := range mirrors {
-			mirrors[i] = published.NewMirror(publishedtest.Protocol{})
-		}
+		mirrors := newMirrors(3)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, len(mirrors)-1).Draw(t, "mirror")
 			m, before := mirrors[i], mirrors[i].Revision()
