--- a/internal/control/proof.go
+++ b/internal/control/proof.go
@@ -12,14 +12,13 @@
 type readVerdict int
 
 const (
-	// contentGenuine: the peers that sent the content have an API key of the store's configuration. The content stays where it is
-	// later than the read.
+	// contentGenuine: the content was signed with the key of the store's configuration. It stays where it is later than the read.
 	contentGenuine readVerdict = iota
 	// contentSuperseded: the read replaces the content. It is at least as recent, or the content claimed a revision that the store
 	// had not reached when the read was sent.
 	contentSuperseded
-	// contentUndecided: the content was received after the read was sent, is later, and has other keys. It is forged, or of
-	// a configuration that was published after the read was sent. Only a read that is sent from now on can tell.
+	// contentUndecided: the content was received after the read was sent, is later, and has another key. It is forged, or its
+	// configuration was published after the read was sent. Only a read that is sent from now on can tell.
 	contentUndecided
 )
 
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -47,7 +47,7 @@
 	src      *bufio.Reader
 	event    Event
 	hasField bool // the current event has a field
-	strict   bool
+	strict   bool // see NewStrictReader
 	unknown  bool // the current event has a field that this package does not know
 	budget   *bytebudget.Budget
 	reserved int64 // of the budget
