--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -75,16 +75,42 @@
 const workTime = 20 * time.Millisecond
 
 func init() { // the faults refer to mixes
+	withBursts := mix{idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor}
+	endsOfEndpoints := mix{idleTimeout: idleTimeout, environment: oneProcessor}
 	mixes = map[int]mix{
 		1:  {faults: faultsOfMix1},
-		2:  {faults: faultsOfMix2, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor},
-		3:  {faults: faultsOfMix3, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, workTime: workTime},
-		4:  {faults: faultsOfMix4, idleTimeout: idleTimeout, environment: oneProcessor, soundCallers: 40, deathCallers: 3, workTime: workTime},
-		6:  {faults: faultsOfMix3, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime},
-		7:  {faults: faultsOfMix7, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, workTime: workTime, uploadCallers: 6},
-		8:  {faults: faultsOfMix7, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime, uploadCallers: 6},
-		9:  {faults: faultsOfMix9, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, workTime: workTime, uploadCallers: 6},
-		10: {faults: faultsOfMix9, idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor, soundCallers: 40, deathCallers: 3, deadlyParts: 1, workTime: workTime, uploadCallers: 6},
-		5:  {faults: faultsOfMix4, idleTimeout: idleTimeout, environment: oneProcessor, soundCallers: 40, workTime: workTime},
+		2:  withBursts.of(faultsOfMix2),
+		3:  withBursts.of(faultsOfMix3).withSharedContents().withQueriesOfDeath(0),
+		4:  endsOfEndpoints.of(faultsOfMix4).withSharedContents().withQueriesOfDeath(0),
+		5:  endsOfEndpoints.of(faultsOfMix4).withSharedContents(),
+		6:  withBursts.of(faultsOfMix3).withSharedContents().withQueriesOfDeath(1),
+		7:  withBursts.of(faultsOfMix7).withSharedContents().withUploads(),
+		8:  withBursts.of(faultsOfMix7).withSharedContents().withUploads().withQueriesOfDeath(1),
+		9:  withBursts.of(faultsOfMix9).withSharedContents().withUploads(),
+		10: withBursts.of(faultsOfMix9).withSharedContents().withUploads().withQueriesOfDeath(1),
 	}
 }
+
+// of returns the mix with the given faults.
+func (m mix) of(faults []fault) mix {
+	m.faults = faults
+	return m
+}
+
+// withSharedContents returns the mix with callers that send contents which others send too.
+func (m mix) withSharedContents() mix {
+	m.soundCallers, m.workTime = 40, workTime
+	return m
+}
+
+// withQueriesOfDeath returns the mix with contents, and parts of prompts, that are queries of death.
+func (m mix) withQueriesOfDeath(parts int) mix {
+	m.deathCallers, m.deadlyParts = 3, parts
+	return m
+}
+
+// withUploads returns the mix with callers that send large bodies.
+func (m mix) withUploads() mix {
+	m.uploadCallers = 6
+	return m
+}
