--- a/internal/control/undecided_read_test.go
+++ b/internal/control/undecided_read_test.go
@@ -141,3 +141,14 @@
 		})
 	}
 }
+
+// TestReadOfAnOlderCopyKeepsTheLaterConfiguration guards against a starting gateway that goes back to an older configuration, because the
+// store has returned with a copy that lacks the one which its peers have in force.
+func TestReadOfAnOlderCopyKeepsTheLaterConfiguration(t *testing.T) {
+	later := config(2, "key")
+	r := newLateReader()
+	r.receive(20, later, later)
+	r.awaitRead(t)
+	r.answer(published.InEra(1, 15), config(1, "key"))
+	r.expect(t, 2, true)
+}
