--- a/internal/control/keyless_test.go
+++ b/internal/control/keyless_test.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// TestEmptyListRefusesEveryKey guards against an empty list of workspaces that admits keys which were taken away, or which never
+// existed, at gateways that run and at those that start meanwhile (ROUTE).
+func TestEmptyListRefusesEveryKey(t *testing.T) {
+	w := smallFleet(t)
+	w.Write(publishedtest.Config(emptyList(2)))
+	w.Nodes[5].RestartAfter(0)
+	w.Run(2 * time.Second)
+	w.Nodes[4].RestartAfter(0)
+	w.Run(2 * time.Second)
+	for _, n := range w.Nodes[:6] {
+		for _, key := range []string{"key", "forged", ""} {
+			expectReason(t, w, n, key, control.ReasonUnauthenticated)
+		}
+	}
+}
+
 // TestKeysWithoutListAreRefused guards against a configuration without a list of workspaces that admits keys which were taken away, or
 // which no configuration ever held (ROUTE). Requests without a key are served.
 func TestKeysWithoutListAreRefused(t *testing.T) {
