--- a/internal/controltest/store.go
+++ b/internal/controltest/store.go
@@ -59,8 +59,15 @@
 	return max(oldest, w.historyDropped)
 }
 
+// keepsHistoryAfter reports whether the store can list the changes after a revision.
+func (w *World) keepsHistoryAfter(r fleet.Revision) bool {
+	return published.EraOf(r) == w.Store.Era() && published.StoreRevision(r) >= w.historyDropped
+}
+
 // DropHistory discards the writes that the store has kept.
-func (w *World) DropHistory() { w.historyDropped = w.Store.Update(true, 0).Revision }
+func (w *World) DropHistory() {
+	w.historyDropped = published.StoreRevision(w.Store.Update(true, 0).Revision)
+}
 
 // read simulates a store read. The response is the store's content when the request arrived.
 func (n *Node) read(action control.ReadStore) {
@@ -84,7 +91,7 @@
 	}
 	held := delayOf(n, w.StoreDelay)
 	w.After(storeLatency/2, func() {
-		if !action.Snapshot && published.EraOf(action.After) != w.Store.Era() {
+		if !action.Snapshot && !w.keepsHistoryAfter(action.After) {
 			finish(storeLatency/2+held, func() { n.State.ReadFailed(w.Now(), published.ErrHistoryGone) })
 			return
 		}
