buildinfo: a process names the program that it runs, however it was built

What an operator could not tell: whether the gateways of a fleet, or a run of a test, had the program that was deployed. `version` printed "commit unknown" where Go builds without the repository's state, and the start of a process (101) named no program.

Change: the start logs version, commit and Go release. The executable is read with pauses, so that a starting process has its core for callers.

Tests: TestDigestIsOfTheRunningProgram (the file is replaced before the digest is read), TestDigestEndsWithItsContext.

--- a/internal/cli/version.go
+++ b/internal/cli/version.go
@@ -4,9 +4,10 @@
 	"context"
 	"flag"
 	"fmt"
-	"runtime/debug"
 
 	"github.com/google/subcommands"
+
+	"github.com/dandelionvane/dandelionvane/internal/buildinfo"
 )
 
 type versionCommand struct{ env Env }
@@ -14,27 +15,19 @@
 func (*versionCommand) Name() string     { return "version" }
 func (*versionCommand) Synopsis() string { return "print the version of this program" }
 func (*versionCommand) Usage() string {
-	return "version\n\nPrints the version, the commit and the Go release.\n"
+	return "version\n\nPrints the version, the commit, the Go release and the SHA-256 of the executable.\n"
 }
 func (*versionCommand) SetFlags(*flag.FlagSet) {}
 
-func (c *versionCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *versionCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if problem := argumentProblem(f); problem != "" {
 		return c.env.usageError(c.Name(), problem)
 	}
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		info = &debug.BuildInfo{}
+	info := buildinfo.Read()
+	digest, err := buildinfo.Digest(ctx)
+	if err != nil {
+		return c.env.fail(c.Name(), err)
 	}
-	fmt.Fprintf(c.env.Stdout, "%s %s commit %s %s\n", program, info.Main.Version, commit(info), info.GoVersion)
+	fmt.Fprintf(c.env.Stdout, "%s %s commit %s %s digest %s\n", program, info.Version, info.Commit, info.Go, digest)
 	return subcommands.ExitSuccess
 }
-
-func commit(info *debug.BuildInfo) string {
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			return s.Value
-		}
-	}
-	return "unknown"
-}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -11,6 +11,7 @@
 	{SettingsRead, "settings_read", Info, "The settings file was read."},
 	{SettingsFault, "settings_fault", Error, "A value of the settings file cannot be used."},
 	{PanicContained, "panic_contained", Error, "A fault of this program was contained: the input that brought it about was dropped, and the process goes on."},
+	{ProgramIdentified, "program_identified", Info, "The digest of the program that this process runs is known."},
 	{ConfigAdopted, "config_adopted", Info, "This process uses a new revision of the configuration."},
 	{ConfigRefused, "config_refused", Error, "The platform published an invalid configuration; the previous valid one stays in use."},
 	{ItemUnreadable, "item_unreadable", Warning, "An item of the platform's store cannot be used."},
--- a/internal/event/number.go
+++ b/internal/event/number.go
@@ -29,6 +29,7 @@
 	ProcessStopped        Number = 103
 	ProcessPaused         Number = 104
 	PanicContained        Number = 107
+	ProgramIdentified     Number = 108
 	ConfigAdopted         Number = 201
 	ConfigRefused         Number = 202
 	PeerSuspected         Number = 301
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/buildinfo"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/ctxtime"
 	"github.com/dandelionvane/dandelionvane/internal/event"
@@ -45,6 +46,7 @@
 	ctx          context.Context // cancelled when the process ends
 	wg           sync.WaitGroup
 	metrics      *metrics.Registry
+	program      *buildinfo.Current
 	client       *exchange.Client
 	store        atomic.Pointer[published.Client]
 	storeReads   chan control.ReadStore
@@ -76,6 +78,7 @@
 		settings:     settings,
 		ctx:          work,
 		metrics:      metrics.New(),
+		program:      buildinfo.NewCurrent(),
 		client:       exchange.NewClient(connectTimeout),
 		storeReads:   make(chan control.ReadStore, 1),
 		pulls:        make(chan struct{}, maxPulls),
@@ -129,7 +132,8 @@
 
 func (p *process) run(ctx context.Context) error {
 	s := &p.settings
-	event.LogFields(event.ProcessStarted, "instance", s.Instance, "data_centre", s.DataCentre, "callers", s.Listen.Callers, "peers", s.Peers.Addr, "first_start", s.FirstStart)
+	p.logStart()
+	p.start("identify_program", p.identifyProgram)
 	p.wg.Go(func() { p.loop.run(p.ctx) })
 	p.wg.Go(func() { p.peers.Serve(p.ctx, p.handleMessage, recordReceiveError) })
 	p.wg.Go(p.readStore)
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -9,6 +9,7 @@
 
 	"github.com/dandelionvane/dandelionvane/internal/backlog"
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/buildinfo"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/fault"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
@@ -18,10 +19,16 @@
 // gaugeReportInterval is the time between two updates of the gauges.
 const gaugeReportInterval = 2 * time.Second
 
+// Dump is the response to GET /dump.
+type Dump struct {
+	Program buildinfo.Info `json:"program"`
+	control.Dump
+}
+
 func (p *process) operatorHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Method(http.MethodGet, "/metrics", p.metrics.Handler())
-	r.Get("/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.dump()) })
+	r.Get("/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, Dump{p.program.Info(), p.dump()}) })
 	r.Get("/place", p.placeHandler())
 	r.Get("/blocked", p.serveBlocked)
 	r.Delete("/blocked/{blocked}", p.liftBlock)
--- a/internal/router/operator.go
+++ b/internal/router/operator.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 
+	"github.com/dandelionvane/dandelionvane/internal/buildinfo"
 	"github.com/dandelionvane/dandelionvane/internal/core"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/peering"
@@ -24,10 +25,11 @@
 
 // Dump is the response to GET /dump: the state of the process.
 type Dump struct {
-	Core               core.Dump   `json:"core"`
-	Peering            PeeringDump `json:"peering"`
-	Process            ProcessDump `json:"process"`
-	RequestsInProgress int         `json:"callers_in_progress"`
+	Program            buildinfo.Info `json:"program"`
+	Core               core.Dump      `json:"core"`
+	Peering            PeeringDump    `json:"peering"`
+	Process            ProcessDump    `json:"process"`
+	RequestsInProgress int            `json:"callers_in_progress"`
 }
 
 // PeeringDump holds the counters of the transport between routers.
@@ -106,6 +108,7 @@
 func (p *process) serveDump(w http.ResponseWriter, r *http.Request) {
 	s := p.snapshot(r.Context())
 	d := Dump{
+		Program:            p.program.Info(),
 		Peering:            dumpPeering(s.Peering),
 		RequestsInProgress: s.RequestsInProgress,
 		Process:            ProcessDump{CPUSeconds: s.CPU.Seconds(), RSSBytes: s.RSSBytes, BodyBytes: s.BodyBytes},
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/dandelionvane/dandelionvane/internal/buildinfo"
 	"github.com/dandelionvane/dandelionvane/internal/callers"
 	"github.com/dandelionvane/dandelionvane/internal/core"
 	"github.com/dandelionvane/dandelionvane/internal/event"
@@ -40,6 +41,7 @@
 	platform       *platform.Client
 	listeners      listeners
 	operator       *http.Server
+	program        *buildinfo.Current
 	listenerErrors chan error // errors of listeners; only the first is used
 }
 
@@ -84,7 +86,7 @@
 }
 
 func newProcess(o Options, ls listeners) (*process, error) {
-	p := &process{opts: o, listeners: ls, listenerErrors: make(chan error, 2)}
+	p := &process{opts: o, listeners: ls, program: buildinfo.NewCurrent(), listenerErrors: make(chan error, 2)}
 	p.core = core.New(time.Now(), o.Core)
 	p.executor = &actionExecutor{stopped: make(chan struct{})}
 	p.loop = newLoop(p.core, p.executor, o.Core.TickInterval)
@@ -132,6 +134,7 @@
 	var wg sync.WaitGroup
 	p.executor.pollers = newPollers(workCtx, p.upstream, p.loop.post, p.opts.LoadPollInterval)
 	event.LogText(event.ProcessStarted, string(p.opts.Core.Self))
+	wg.Go(func() { p.program.Identify(workCtx) })
 	wg.Go(func() { p.loop.run(workCtx) })
 	wg.Go(func() { p.platform.Run(workCtx) })
 	wg.Go(func() { p.reportSnapshots(workCtx) })
