--- a/internal/published/mirror.go
+++ b/internal/published/mirror.go
@@ -17,8 +17,11 @@
 // deleted keys, so that it can send the changes since an earlier revision to other mirrors.
 //
 // A write is significant if it changes the decoded record of its key; a heartbeat, which does not,
-// is insignificant. Invariants: all writes up to CoveredRevision have been applied, and no write
-// after Revision and up to CoveredRevision is significant.
+// is insignificant. The first write of a key in an era is significant too: when the store has returned
+// with an older copy, a mirror may hold a later record than the copy, which other mirrors lack.
+// Invariants: all writes up to CoveredRevision have been applied, and no write after Revision and up
+// to CoveredRevision is significant. A record that the store of the present era lacks keeps its
+// revision of a former era.
 type Mirror struct {
 	protocol     Protocol
 	revision     fleet.Revision
@@ -184,9 +187,10 @@
 	record, err := m.decode(it)
 	laterEra := EraOf(it.Revision) > EraOf(old.item.Revision)
 	outdated := err == nil && !supersedes(record, old.record, laterEra)
-	if known && (outdated || err == nil && reflect.DeepEqual(record, old.record) || record == nil && err != nil) {
+	unchanged := err == nil && reflect.DeepEqual(record, old.record)
+	if known && (outdated || unchanged && !laterEra || record == nil && err != nil) {
 		old.lastWrite = it.Revision
-		if coalesced {
+		if coalesced && !(outdated && laterEra) {
 			old.item.Revision = it.Revision
 		}
 		m.items[it.Key] = old
@@ -200,6 +204,9 @@
 	}
 	m.items[it.Key] = mirrorItem{item: it, record: record, lastWrite: it.Revision, unreadable: record == nil && err != nil}
 	m.revision = max(m.revision, it.Revision)
+	if known && unchanged {
+		return ItemChange{}, false
+	}
 	return ItemChange{Key: it.Key, Record: record, Err: err}, record != nil || err != nil
 }
 
