--- a/internal/control/content.go
+++ b/internal/control/content.go
@@ -34,16 +34,16 @@
 		if c.Err != nil {
 			s.log(event.ItemUnreadable, "key", c.Key, "err", c.Err.Error())
 		}
-		s.contain("adopt", func() { s.adopt(now, c.Record) }, "key", c.Key)
+		s.contain("adopt", func() { s.adopt(now, c) }, "key", c.Key)
 	}
 	if len(changes) > 0 {
 		s.indexServices()
 	}
 }
 
-// adopt derives the state from a changed record of the content; nil changes nothing.
-func (s *State) adopt(now boottime.Instant, r published.Record) {
-	switch r := r.(type) {
+// adopt derives the state from a change of the content. One without a record changes nothing.
+func (s *State) adopt(now boottime.Instant, c published.ItemChange) {
+	switch r := c.Record.(type) {
 	case published.Config:
 		s.table = routing.NewTable(r.Config)
 		s.adoptKey(now, r.Config)
@@ -51,7 +51,7 @@
 		s.log(event.ConfigAdopted, "version", r.Config.Version, "revision", s.mirror.Revision(),
 			"age_ms", s.SnapshotAge(now).Milliseconds(), "routes", len(r.Config.Routes))
 	case published.Evacuation:
-		s.adoptEvacuation(now, r)
+		s.adoptEvacuation(now, r, c.Lost)
 	case published.Endpoint:
 		s.adoptEndpoint(now, r.Endpoint)
 	case published.EndpointGone:
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -22,7 +22,9 @@
 	// Aggregators are those of the gateway's data centre, in their order; none in a small fleet.
 	Aggregators []fleet.InstanceID   `json:"aggregators"`
 	Evacuated   []fleet.DataCentreID `json:"data_centres_out"`
-	Origins     OriginsDump          `json:"stream_origins"`
+	// EvacuationsLost are the data centres of Evacuated that the operator has not published again since the store has lost that.
+	EvacuationsLost []fleet.DataCentreID `json:"evacuations_lost,omitempty"`
+	Origins         OriginsDump          `json:"stream_origins"`
 	CrashesDump
 	Services  []ServiceDump  `json:"services"`
 	Endpoints []EndpointDump `json:"endpoints"`
@@ -101,12 +103,7 @@
 	if s.table != nil {
 		d.Store.ConfigVersion = s.table.Config().Version
 	}
-	for dc, evacuated := range s.evacuated {
-		if evacuated {
-			d.Evacuated = append(d.Evacuated, dc)
-		}
-	}
-	slices.Sort(d.Evacuated)
+	d.Evacuated, d.EvacuationsLost = s.dumpEvacuations()
 	d.Services = s.dumpServices(now)
 	for _, e := range s.endpoints {
 		d.Endpoints = append(d.Endpoints, s.dumpEndpoint(now, e))
--- a/internal/control/era.go
+++ b/internal/control/era.go
@@ -9,13 +9,12 @@
 	"github.com/dandelionvane/dandelionvane/internal/published"
 )
 
-// republishTime is how long after the store's return with an older copy of its content the operator and the
-// endpoints publish again what it has lost. Entries in the copy of endpoints that have left expire within
-// this time.
+// republishTime is how long after the store's return with an older copy of its content the endpoints publish
+// again what it has lost. Entries in the copy of endpoints that have left expire within this time.
 const republishTime = 5 * time.Second
 
-// beginEra handles the return of the store with an older copy of its content. For republishTime, what the copy lacks
-// is not taken for deleted, and what it has again is not taken for published.
+// beginEra handles the return of the store with an older copy of its content. For republishTime, an entry that the
+// copy has again is not taken for published.
 func (s *State) beginEra(now boottime.Instant, revision fleet.Revision) {
 	s.freshness.eraSince = now
 	s.freshness.recoveredAt = now
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -63,21 +63,21 @@
 
 	table     *routing.Table // of the current configuration; nil before the first one
 	evacuated map[fleet.DataCentreID]bool
-	// unconfirmedEvacuations are those that an older copy of the store's content lacks.
-	unconfirmedEvacuations map[fleet.DataCentreID]bool
-	endpoints              map[fleet.EndpointID]*endpoint
-	endpointsByShort       map[uint32]*endpoint            // the same, by their short IDs
-	endpointList           []*endpoint                     // the same, in the order of their IDs
-	services               map[fleet.ServiceID][]*endpoint // in the order of their IDs
-	retryWindows           map[fleet.ServiceID]*retry.Window
-	retrySuccessRates      map[fleet.ServiceID]float64 // moving average of the success of retries after endpoints' own failures
-	costs                  *cost.Model
-	serviceLoads           map[fleet.ServiceID]*serviceLoad
-	reportsWorkspaces      bool                        // to peers, see reportWorkspaces
-	timeLimits             map[string]*callerTimeLimit // of callers, by route
-	outliersCheckedAt      boottime.Instant
-	loggedAggregators      []fleet.InstanceID
-	stopping               bool
+	// lostEvacuations are those that an older copy of the store's content lacks, and since when.
+	lostEvacuations   map[fleet.DataCentreID]boottime.Instant
+	endpoints         map[fleet.EndpointID]*endpoint
+	endpointsByShort  map[uint32]*endpoint            // the same, by their short IDs
+	endpointList      []*endpoint                     // the same, in the order of their IDs
+	services          map[fleet.ServiceID][]*endpoint // in the order of their IDs
+	retryWindows      map[fleet.ServiceID]*retry.Window
+	retrySuccessRates map[fleet.ServiceID]float64 // moving average of the success of retries after endpoints' own failures
+	costs             *cost.Model
+	serviceLoads      map[fleet.ServiceID]*serviceLoad
+	reportsWorkspaces bool                        // to peers, see reportWorkspaces
+	timeLimits        map[string]*callerTimeLimit // of callers, by route
+	outliersCheckedAt boottime.Instant
+	loggedAggregators []fleet.InstanceID
+	stopping          bool
 }
 
 // New returns the state of a process that starts at now.
@@ -90,19 +90,19 @@
 		join:      joinState{processStart: now},
 		evacuated: map[fleet.DataCentreID]bool{},
 
-		unconfirmedEvacuations: map[fleet.DataCentreID]bool{},
-		endpoints:              map[fleet.EndpointID]*endpoint{},
-		endpointsByShort:       map[uint32]*endpoint{},
-		backlog:                fleetBacklog{tracker: backlog.New()},
-		origins:                newOrigins(),
-		trust:                  newContentTrust(opts),
-		crashes:                crashes{detector: crasher.New()},
-		services:               map[fleet.ServiceID][]*endpoint{},
-		retryWindows:           map[fleet.ServiceID]*retry.Window{},
-		retrySuccessRates:      map[fleet.ServiceID]float64{},
-		costs:                  cost.New(),
-		serviceLoads:           map[fleet.ServiceID]*serviceLoad{},
-		timeLimits:             map[string]*callerTimeLimit{},
+		lostEvacuations:   map[fleet.DataCentreID]boottime.Instant{},
+		endpoints:         map[fleet.EndpointID]*endpoint{},
+		endpointsByShort:  map[uint32]*endpoint{},
+		backlog:           fleetBacklog{tracker: backlog.New()},
+		origins:           newOrigins(),
+		trust:             newContentTrust(opts),
+		crashes:           crashes{detector: crasher.New()},
+		services:          map[fleet.ServiceID][]*endpoint{},
+		retryWindows:      map[fleet.ServiceID]*retry.Window{},
+		retrySuccessRates: map[fleet.ServiceID]float64{},
+		costs:             cost.New(),
+		serviceLoads:      map[fleet.ServiceID]*serviceLoad{},
+		timeLimits:        map[string]*callerTimeLimit{},
 	}
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -17,6 +17,7 @@
 	{ItemUnreadable, "item_unreadable", Warning, "An item of the platform's store cannot be used."},
 	{DataCentreState, "data_centre_state", Info, "Operators put a data centre out of service or back into service."},
 	{ConfigUnknown, "config_unknown", Warning, "A request was refused because no configuration is known yet."},
+	{EvacuationLost, "evacuation_lost", Warning, "The store has lost an evacuation by its return with an older copy; it goes on for a limited time."},
 	{PeerSuspected, "peer_suspected", Warning, "A peer does not respond and is suspected to have failed."},
 	{PeerRecovered, "peer_recovered", Info, "A suspected peer responds again."},
 	{PeerLeaving, "peer_leaving", Info, "A peer has begun a planned stop."},
--- a/internal/event/number.go
+++ b/internal/event/number.go
@@ -55,6 +55,7 @@
 	ItemUnreadable        Number = 203
 	DataCentreState       Number = 204
 	ConfigUnknown         Number = 205
+	EvacuationLost        Number = 206
 	MembersLearned        Number = 305
 	SeedUnreachable       Number = 306
 	MessageUnreadable     Number = 308
--- a/internal/published/mirror.go
+++ b/internal/published/mirror.go
@@ -45,6 +45,7 @@
 	Key    string
 	Record Record // new record of the key; nil: the previous one stays valid
 	Err    error  // the item cannot be decoded
+	Lost   bool   // the key is not in the store of a later era than the item's: nobody may have deleted it
 }
 
 // NewMirror returns an empty mirror.
@@ -125,7 +126,8 @@
 		}
 		record, err := m.protocol.DecodeItem(Item{Key: key, Revision: revision, Deleted: true})
 		if record != nil || err != nil {
-			changes = append(changes, ItemChange{Key: key, Record: record, Err: err})
+			lost := EraOf(revision) > EraOf(e.item.Revision)
+			changes = append(changes, ItemChange{Key: key, Record: record, Err: err, Lost: lost})
 		}
 	}
 	slices.SortFunc(changes, func(a, b ItemChange) int { return strings.Compare(a.Key, b.Key) })
@@ -207,7 +209,8 @@
 	if known && unchanged {
 		return ItemChange{}, false
 	}
-	return ItemChange{Key: it.Key, Record: record, Err: err}, record != nil || err != nil
+	lost := it.Deleted && known && laterEra
+	return ItemChange{Key: it.Key, Record: record, Err: err, Lost: lost}, record != nil || err != nil
 }
 
 // UnreadableKeys returns the keys whose only known item cannot be decoded, in order. Another mirror may have a former one.
--- a/internal/published/rewrite_test.go
+++ b/internal/published/rewrite_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/published"
 	"github.com/dandelionvane/dandelionvane/internal/published/publishedtest"
 	"github.com/dandelionvane/dandelionvane/internal/routing"
@@ -42,3 +43,30 @@
 		}
 	}
 }
+
+// TestLostKeyIsNotDeleted guards against a mirror that takes a key for deleted which the store has lost by its return with an older copy,
+// or for lost which was deleted after the return.
+func TestLostKeyIsNotDeleted(t *testing.T) {
+	store := publishedtest.NewStore()
+	store.Write(publishedtest.Evacuation("a"))
+	copied := store.Copy()
+	store.Write(publishedtest.Evacuation("b"))
+	m := published.NewMirror(publishedtest.Protocol{})
+	m.Apply(store.Update(true, 0))
+	store.Restore(copied)
+	for _, step := range []struct {
+		update published.Update
+		lost   bool
+	}{{store.Update(true, 0), true}, {deleted(store, "a"), false}} {
+		changes := m.Apply(step.update)
+		if len(changes) != 1 || changes[0].Lost != step.lost {
+			t.Errorf("changes %+v, want one, lost: %v", changes, step.lost)
+		}
+	}
+}
+
+// deleted ends an evacuation and returns the writes of the store.
+func deleted(store *publishedtest.Store, dc string) published.Update {
+	store.Write(publishedtest.EvacuationEnd(fleet.DataCentreID(dc)))
+	return store.Update(false, 0)
+}
