control: content that the store has lost is not taken for forged without asking for a proof

The store returns with a copy that lacks the configuration, and that configuration had other API keys than the copy's. The gateway's first read replaced it by the copy's: requests ran as an older configuration says, until the operator had written the later one again. Where content is disputed and the next read did not end, no update of a peer was accepted for as long as that read took.

Cause: an unproven configuration with other keys than the store's was taken for forged, as soon as the store's answer was as recent. Over a return with an older copy the answer is later and still lacks what was acknowledged before.

Evidence: TestContentNeverGoesBackOverEras plays reads, pulls and messages in any order over returns with older copies, with restarts and gateways that are cut off from the seeds.

Change: if unproven content has records of a former era, the read decides nothing, once in each era. For a second, a seed is asked for its keys and three peers (in a large fleet the aggregators) for their copy, signed with the key of the store's configuration, which peers that have the later configuration hold as a former one and a forger does not know. Then the next read decides as before. A dispute ends after two seconds even if the next read does not.

Cost: forged content of a former era stays for about a second longer. Dump and gauges show unproven and disputed content.

Tests: TestLostKeysAreKeptOnAPeersProof, TestForgedProofIsRefused, TestDisputeEndsInTime (all fail before), TestForgerCannotKeepContentDisputed (holds before, too), TestContentNeverGoesBackOverEras.

--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -44,6 +44,8 @@
 	AgeMS         int64          `json:"age_ms"` // time since the last read that confirmed the snapshot was sent
 	ReadsFailing  bool           `json:"reads_fail"`
 	ReaderRank    int            `json:"reader_rank"` // position in the order in which gateways read the store
+	Proven        bool           `json:"proven"`      // it is the store's, and not only what peers have claimed
+	Disputed      bool           `json:"disputed"`    // a read has left it undecided; no update of a peer is accepted until the next one ends
 	Era           uint64         `json:"era"`         // how many times the store has returned with an older copy; upper bits of the revision
 }
 
@@ -89,6 +91,8 @@
 			Revision:     published.StoreRevision(s.mirror.Revision()),
 			Era:          published.EraOf(s.mirror.Revision()),
 			AgeMS:        s.SnapshotAge(now).Milliseconds(),
+			Proven:       s.trust.proven,
+			Disputed:     s.disputed(now),
 			ReadsFailing: s.reader.failing,
 			ReaderRank:   s.mesh.ReaderRank(now, s.reader.failedRecently(now)),
 		},
--- a/internal/control/pull.go
+++ b/internal/control/pull.go
@@ -163,6 +163,9 @@
 // unknown.
 func (s *State) PullDone(now boottime.Instant, from fleet.InstanceID, m wire.StoreUpdate, confirmedAt boottime.Instant) {
 	s.pulls = pullState{}
+	if s.proveDisputed(now, from, &m) {
+		return
+	}
 	if !s.acceptsUpdate(now, from, &m) {
 		return
 	}
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -93,7 +93,7 @@
 	r := &s.reader
 	onDemand := r.onDemandAt != 0 && !now.Before(r.onDemandAt) && !now.Before(r.onDemandNotBefore)
 	tooOld := s.SnapshotAge(now) >= s.readThreshold(now) && !now.Before(r.nextReadNotBefore)
-	if r.reading || !onDemand && !tooOld && !s.proofReadDue(now) || s.mirror.Revision() == 0 && s.awaitsPeers(now) {
+	if r.reading || !onDemand && !tooOld && !s.proofReadDue(now) || s.mirror.Revision() == 0 && s.awaitsPeers(now) || s.awaitsProof(now) {
 		return
 	}
 	r.onDemandAt = 0
@@ -168,7 +168,7 @@
 	}
 	r.reading, r.failures, r.failing, r.fullReadNeeded, r.onDemandPeer = false, 0, false, false, ""
 	r.lastReadDone = now
-	s.trust.disputed = false
+	s.endDispute()
 	before := s.mirror.Revision()
 	applied := s.applyRead(now, u, r.coveredAtSend)
 	if applied && u.Snapshot && !s.firstOfEra(before) {
@@ -184,7 +184,7 @@
 func (s *State) ReadFailed(now boottime.Instant, err error) {
 	r := &s.reader
 	r.reading = false
-	s.trust.disputed = false
+	s.endDispute()
 	if errors.Is(err, published.ErrHistoryGone) {
 		r.fullReadNeeded = true
 		if r.onDemandPeer != "" {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -118,6 +118,7 @@
 // Tick runs the timers that are due at now. One that panics keeps no other from running.
 func (s *State) Tick(now boottime.Instant) {
 	s.contain("tick_reader", func() { s.tickReader(now) })
+	s.contain("tick_dispute", func() { s.tickDispute(now) })
 	s.contain("tick_joining", func() { s.tickJoining(now) })
 	s.contain("log_peers", func() { s.logPeerTransitions(now) })
 	s.contain("log_aggregators", s.logAggregators)
--- a/internal/control/trust.go
+++ b/internal/control/trust.go
@@ -36,9 +36,7 @@
 	ring   *msgauth.Keyring
 	auth   *msgauth.Authenticator // of messages other than a Status; uses ring
 	proven bool                   // the content is that of the store, and not only what a peer has claimed
-	// disputed is set from a read that was undecided, see assessRead, to the end of the next one. No update of a peer is accepted
-	// meanwhile: the next read then decides.
-	disputed bool
+	dispute
 }
 
 // keyringOptions are those of the keys of the content. Peers adopt a configuration within half of SwitchDelay, unless they are
@@ -64,7 +62,7 @@
 
 // acceptsUpdate reports whether an update of a peer may be applied.
 func (s *State) acceptsUpdate(now boottime.Instant, from fleet.InstanceID, m *wire.StoreUpdate) bool {
-	if s.trust.disputed && !s.trust.proven {
+	if s.disputed(now) {
 		return false
 	}
 	ring := s.trust.ring
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -80,6 +80,7 @@
 	{StoreRestored, "store_restored", Warning, "The store returned with an older copy of its content; what it has lost is published again."},
 	{ContentUndecided, "content_undecided", Info, "A late answer of the store neither proves nor refutes later content of peers; the store is read again."},
 	{ContentReplaced, "content_replaced", Warning, "Content that peers had sent to a starting gateway was not the store's, and was replaced."},
+	{ContentProven, "content_proven", Info, "A peer has proved disputed content: it holds the same, and knows the key of the store's configuration."},
 }
 
 // Catalogue returns the definitions of all events, sorted by number.
--- a/internal/event/number.go
+++ b/internal/event/number.go
@@ -100,4 +100,5 @@
 	StoreRestored         Number = 805
 	ContentUndecided      Number = 806
 	ContentReplaced       Number = 807
+	ContentProven         Number = 808
 )
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -53,6 +53,8 @@
 	s.Gauge("ready").Update(boolGauge(dump.Ready))
 	s.Gauge("members").Update(float64(len(dump.Members)))
 	s.Gauge("live_peers").Update(float64(dump.LivePeers))
+	s.Gauge("content_proven").Update(boolGauge(dump.Store.Proven))
+	s.Gauge("content_disputed").Update(boolGauge(dump.Store.Disputed))
 	s.Gauge("evacuations_lost").Update(float64(len(dump.EvacuationsLost)))
 	s.Gauge("blocked_requests").Update(float64(dump.Blocked))
 	s.Gauge("blocked_causes").Update(float64(len(dump.Causes)))
--- a/internal/published/mirror.go
+++ b/internal/published/mirror.go
@@ -60,6 +60,16 @@
 // CoveredRevision returns the revision up to which all writes have been applied.
 func (m *Mirror) CoveredRevision() fleet.Revision { return m.covered }
 
+// HoldsFormerEra reports whether a present item was last written in an earlier era than the given one.
+func (m *Mirror) HoldsFormerEra(era uint64) bool {
+	for _, e := range m.items {
+		if !e.item.Deleted && EraOf(e.item.Revision) < era {
+			return true
+		}
+	}
+	return false
+}
+
 // Apply applies an update that contains all changes after some revision not above CoveredRevision,
 // and returns the resulting changes.
 func (m *Mirror) Apply(u Update) []ItemChange {
