--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -211,7 +211,11 @@
 
 // isConfig reports whether an item is a configuration, readable or not.
 func (s *State) isConfig(it wire.StoreItem) bool {
-	record, err := s.opts.Protocol.DecodeItem(itemOf(&it))
+	return isConfigRecord(s.opts.Protocol.DecodeItem(itemOf(&it)))
+}
+
+// isConfigRecord reports whether a decoded item is a configuration. Of the items that cannot be read, all are but endpoints.
+func isConfigRecord(record published.Record, err error) bool {
 	if err != nil {
 		_, endpoint := record.(published.EndpointGone)
 		return !endpoint
--- a/internal/control/proof.go
+++ b/internal/control/proof.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
@@ -23,6 +25,9 @@
 	// contentMayBeLost: the content has another key and records of a former era. It is forged, or the store has lost its configuration
 	// by its return with an older copy. Only a proof can tell, see dispute.
 	contentMayBeLost
+	// contentUnjudged: the configuration of the store cannot be read, so that the read tells nothing of the keys. The content stays
+	// where it is later than the read, and unproven.
+	contentUnjudged
 )
 
 // assessRead returns what a full read, sent while the mirror covered a revision, tells of the unproven content.
@@ -31,6 +36,8 @@
 	switch covered := s.mirror.CoveredRevision(); {
 	case s.trust.ring.HoldsAny(s.ringOf(now, u.Items).Fingerprints(now)):
 		return contentGenuine
+	case s.trust.ring.HasKey() && !s.trust.refuted && s.hasUnreadableConfig(u.Items):
+		return contentUnjudged
 	case u.Revision >= covered && s.mirror.HoldsFormerEra(era) && era > s.trust.proofEra:
 		return contentMayBeLost
 	case u.Revision >= covered || u.Revision < coveredAtSend:
@@ -59,7 +66,7 @@
 		}
 		return false
 	}
-	s.trust.proven = true
+	s.trust.proven = verdict != contentUnjudged
 	s.noteMirrorConfirmed(now, u.Confirmed)
 	if verdict == contentSuperseded {
 		s.replaceContent(now, u)
@@ -69,6 +76,14 @@
 	return true
 }
 
+// hasUnreadableConfig reports whether the configuration among items cannot be read.
+func (s *State) hasUnreadableConfig(items []published.Item) bool {
+	return slices.ContainsFunc(items, func(it published.Item) bool {
+		record, err := s.opts.Protocol.DecodeItem(it)
+		return err != nil && isConfigRecord(record, err)
+	})
+}
+
 // replaceContent discards the content and its keys, and applies a full read.
 func (s *State) replaceContent(now boottime.Instant, u published.Update) {
 	if former := s.mirror.CoveredRevision(); former > u.Revision {
@@ -76,6 +91,10 @@
 	}
 	s.applyWith(now, u, s.mirror.Replace)
 	s.trust.ring.Clear()
+	s.trust.refuted = false
+	if !s.mirror.HasConfig() {
+		s.table = nil
+	}
 	if s.table != nil {
 		s.adoptKey(now, s.table.Config())
 	}
--- a/internal/control/pull.go
+++ b/internal/control/pull.go
@@ -34,52 +34,6 @@
 	behindSince boottime.Instant // when a peer first reported changes that the mirror lacks; 0: none
 }
 
-const (
-	// recordPullInterval is the time between two pulls of records that this process cannot read from the store.
-	recordPullInterval = 300 * time.Millisecond
-	// maxPulledRecords bounds the keys of one such pull.
-	maxPulledRecords = 16
-)
-
-// PullRecords requests from a peer the last readable items of keys whose items in the store cannot be read. The response is
-// passed to RecordsPulled; a failure is not reported.
-type PullRecords struct {
-	From    fleet.InstanceID
-	Control string // the peer's control address
-	Keys    []string
-}
-
-func (PullRecords) action() {}
-
-// pullRecords requests the records that this process, which has started with unreadable items, lacks. The peers that run
-// since before keep the former ones in use.
-func (s *State) pullRecords(now boottime.Instant, from fleet.InstanceID) {
-	if s.recordsCheckedAt != 0 && now.Sub(s.recordsCheckedAt) < recordPullInterval {
-		return
-	}
-	s.recordsCheckedAt = now
-	keys := s.mirror.UnreadableKeys()
-	m, known := s.mesh.Member(from)
-	if len(keys) == 0 || !known {
-		return
-	}
-	s.emit(PullRecords{From: from, Control: m.ControlAddr, Keys: keys[:min(len(keys), maxPulledRecords)]})
-}
-
-// ReadableItems returns the items of keys that this process can read, as the response to a peer's PullRecords.
-func (s *State) ReadableItems(keys []string) wire.StoreUpdate {
-	out := wire.StoreUpdate{Revision: s.mirror.Revision()}
-	for _, it := range s.mirror.Readable(keys) {
-		out.Items = append(out.Items, wire.StoreItem{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
-	}
-	return out
-}
-
-// RecordsPulled handles the response to a PullRecords action.
-func (s *State) RecordsPulled(now boottime.Instant, m wire.StoreUpdate) {
-	s.adoptChanges(now, s.mirror.Fill(publishedItems(m.Items)))
-}
-
 func publishedItems(items []wire.StoreItem) []published.Item {
 	var out []published.Item
 	for i := range items {
--- a/internal/control/trust.go
+++ b/internal/control/trust.go
@@ -36,6 +36,8 @@
 	ring   *msgauth.Keyring
 	auth   *msgauth.Authenticator // of messages other than a Status; uses ring
 	proven bool                   // the content is that of the store, and not only what a peer has claimed
+	// refuted is set while a seed has named other keys than those of unproven content.
+	refuted bool
 	dispute
 }
 
@@ -147,9 +149,10 @@
 		return
 	}
 	if s.trust.ring.HoldsPresent(seed) {
-		s.trust.proven = true
+		s.trust.proven, s.trust.refuted = true, false
 		return
 	}
+	s.trust.refuted = true
 	s.scheduleOnDemandRead(now, "")
 }
 
--- a/internal/published/mirror.go
+++ b/internal/published/mirror.go
@@ -70,6 +70,16 @@
 	return false
 }
 
+// HasConfig reports whether a configuration is present that can be read, or could before its last write.
+func (m *Mirror) HasConfig() bool {
+	for _, e := range m.items {
+		if _, ok := e.record.(Config); ok && !e.item.Deleted {
+			return true
+		}
+	}
+	return false
+}
+
 // Apply applies an update that contains all changes after some revision not above CoveredRevision,
 // and returns the resulting changes.
 func (m *Mirror) Apply(u Update) []ItemChange {
