soak: gateways start while the store returns with an older copy (mixes 11 and 12)

Half of the gateways are killed and cut off from the store; they reach it when it has just returned with a copy that lacks a key which the others know.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -96,6 +96,27 @@
 	r.rotateKey(d)
 }
 
+// startWhileStoreReturns kills half of the gateways, which start again cut off from the store, and reach it when it has just returned with an
+// older copy. That lacks a key which the others know.
+func (r *run) startWhileStoreReturns(d time.Duration) {
+	r.logFault("half of the gateways: killed, cut off from the store until it returns with an older copy")
+	r.restoreStore(d)
+	r.rotateKey(d)
+	for _, i := range r.rng.Perm(len(r.fleet.gateways))[:len(r.fleet.gateways)/2] {
+		g := r.fleet.gateways[i]
+		r.runAfter(d/4, func() {
+			g.markDisturbed()
+			end := r.beginStoreAway(g.name)
+			defer end()
+			g.storeLink.Inject(link.Faults{Cut: true})
+			r.killFor(g, 0)
+			time.Sleep(d / 4)
+			g.markDisturbed()
+			g.storeLink.Inject(link.Faults{})
+		})
+	}
+}
+
 // killHalf kills half of the gateways at once, so that callers resume many streams at the others.
 func (r *run) killHalf(d time.Duration) {
 	r.logFault("half of the gateways: killed")
--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -22,7 +22,7 @@
 }
 
 // LatestMix is the mix of new seeds.
-const LatestMix = 10
+const LatestMix = 12
 
 var (
 	faultsOfMix1 = []fault{
@@ -60,13 +60,18 @@
 		(*run).foreignLines, (*run).foreignLines, (*run).foreignLines, (*run).foreignLines, (*run).foreignLines, (*run).foreignLines,
 		(*run).startWithLateStore, (*run).startWithLateStore, (*run).startWithLateStore, (*run).startWithLateStore, (*run).startWithLateStore, (*run).startWithLateStore,
 	)
+	faultsOfMix11 = append(slices.Clone(faultsOfMix9),
+		(*run).startWhileStoreReturns, (*run).startWhileStoreReturns, (*run).startWhileStoreReturns, (*run).startWhileStoreReturns,
+		(*run).startWhileStoreReturns, (*run).startWhileStoreReturns, (*run).restoreStore, (*run).restoreStore, (*run).restoreStore,
+	)
 )
 
 // mixes are the versions of the mix of faults. From mix 2 on, gateways have one processor each, so that requests wait in
 // the buffers of connections. Mix 4 has mainly ends of endpoints; mix 5 is mix 4 without queries of death;
 // mix 6 is mix 3 with a part of prompts that ends processes, beside contents that do; mix 7 is mix 3 without queries of death, with broken
 // answers, large bodies and planned stops that overlap; mix 8 is mix 7 with the queries of death of mix 6; mix 9 is mix 7 with text that
-// is no event in streams, and starts of gateways while the store's answers are late; mix 10 is mix 9 with the queries of death of mix 6.
+// is no event in streams, and starts of gateways while the store's answers are late; mix 10 is mix 9 with the queries of death of mix 6;
+// mix 11 is mix 9 with gateways that start while the store returns with an older copy; mix 12 is mix 11 with the queries of death of mix 6.
 var mixes map[int]mix
 
 var oneProcessor = []string{"GOMAXPROCS=1"}
@@ -88,6 +93,8 @@
 		8:  withBursts.of(faultsOfMix7).withSharedContents().withUploads().withQueriesOfDeath(1),
 		9:  withBursts.of(faultsOfMix9).withSharedContents().withUploads(),
 		10: withBursts.of(faultsOfMix9).withSharedContents().withUploads().withQueriesOfDeath(1),
+		11: withBursts.of(faultsOfMix11).withSharedContents().withUploads(),
+		12: withBursts.of(faultsOfMix11).withSharedContents().withUploads().withQueriesOfDeath(1),
 	}
 }
 
