--- a/internal/published/mirror.go
+++ b/internal/published/mirror.go
@@ -197,83 +197,70 @@
 	return keys
 }
 
-// applyItem applies one item and returns false if there is nothing to report, also for a record that does not
-// supersede the known one. If intermediate writes
-// may be missing (coalesced), another mirror may hold a different record of the key although this
-// mirror's record is unchanged. The item's revision is then raised, so that the item is sent again.
+// writeEffect compares a write with the known state of its key.
+type writeEffect struct {
+	record    Record
+	err       error // the item cannot be decoded
+	laterEra  bool  // than that of the known item
+	outdated  bool  // the record does not supersede the known one
+	unchanged bool  // the record is the known one
+}
+
+func (m *Mirror) effectOf(it Item, old *mirrorItem) writeEffect {
+	record, err := m.decode(it)
+	e := writeEffect{record: record, err: err, laterEra: EraOf(it.Revision) > EraOf(old.item.Revision)}
+	if err == nil {
+		e.outdated = !supersedes(record, old.record, e.laterEra)
+		e.unchanged = reflect.DeepEqual(record, old.record)
+	}
+	return e
+}
+
+// significant reports whether the write of a known key counts as a change, see Mirror.
+func (e writeEffect) significant() bool {
+	unreadable := e.record == nil && e.err != nil
+	return !unreadable && !e.outdated && (!e.unchanged || e.laterEra)
+}
+
+// applyItem applies one item and returns false if there is nothing to report.
 func (m *Mirror) applyItem(it Item, coalesced bool) (ItemChange, bool) {
 	old, known := m.items[it.Key]
 	if known && it.Revision <= old.lastWrite {
 		return ItemChange{}, false
 	}
-	record, err := m.decode(it)
-	laterEra := EraOf(it.Revision) > EraOf(old.item.Revision)
-	outdated := err == nil && !supersedes(record, old.record, laterEra)
-	unchanged := err == nil && reflect.DeepEqual(record, old.record)
-	if known && (outdated || unchanged && !laterEra || record == nil && err != nil) {
-		old.lastWrite = it.Revision
-		if coalesced && !(outdated && laterEra) {
-			old.item.Revision = it.Revision
-		}
-		m.items[it.Key] = old
-		return ItemChange{Key: it.Key, Err: err}, err != nil
-	}
-	if it.Deleted && !old.item.Deleted {
-		m.tombstones++
+	e := m.effectOf(it, &old)
+	if known && !e.significant() {
+		m.noteInsignificant(it, old, coalesced && !(e.outdated && e.laterEra))
+		return ItemChange{Key: it.Key, Err: e.err}, e.err != nil
 	}
-	if !it.Deleted && old.item.Deleted {
-		m.tombstones--
-	}
-	m.items[it.Key] = mirrorItem{item: it, record: record, lastWrite: it.Revision, unreadable: record == nil && err != nil}
+	m.countTombstone(it.Deleted, old.item.Deleted)
+	m.items[it.Key] = mirrorItem{item: it, record: e.record, lastWrite: it.Revision, unreadable: e.record == nil && e.err != nil}
 	m.revision = max(m.revision, it.Revision)
-	if known && unchanged {
+	if known && e.unchanged {
 		return ItemChange{}, false
 	}
-	lost := it.Deleted && known && laterEra
-	return ItemChange{Key: it.Key, Record: record, Err: err, Lost: lost}, record != nil || err != nil
-}
-
-// UnreadableKeys returns the keys whose only known item cannot be decoded, in order. Another mirror may have a former one.
-func (m *Mirror) UnreadableKeys() []string {
-	var keys []string
-	for key, e := range m.items {
-		if e.unreadable {
-			keys = append(keys, key)
-		}
-	}
-	slices.Sort(keys)
-	return keys
+	lost := it.Deleted && known && e.laterEra
+	return ItemChange{Key: it.Key, Record: e.record, Err: e.err, Lost: lost}, e.record != nil || e.err != nil
 }
 
-// Readable returns the items of keys that have a record.
-func (m *Mirror) Readable(keys []string) []Item {
-	var out []Item
-	for _, key := range keys {
-		if e, ok := m.items[key]; ok && e.record != nil {
-			out = append(out, e.item)
-		}
+// noteInsignificant notes the last write of a key whose record stays. If intermediate writes may be missing, another mirror may hold a
+// different record of the key. The item's revision is then raised, so that the item is sent again.
+func (m *Mirror) noteInsignificant(it Item, old mirrorItem, raise bool) {
+	old.lastWrite = it.Revision
+	if raise {
+		old.item.Revision = it.Revision
 	}
-	return out
+	m.items[it.Key] = old
 }
 
-// Fill replaces unreadable items by another mirror's items of the same keys, which stay in use until a later write of the
-// key can be read.
-func (m *Mirror) Fill(items []Item) []ItemChange {
-	var changes []ItemChange
-	for _, it := range items {
-		e := m.items[it.Key]
-		if !e.unreadable {
-			continue
-		}
-		record, err := m.decode(it)
-		if err != nil || record == nil {
-			continue
-		}
-		it.Revision = e.item.Revision
-		m.items[it.Key] = mirrorItem{item: it, record: record, lastWrite: e.lastWrite}
-		changes = append(changes, ItemChange{Key: it.Key, Record: record})
+// countTombstone counts the tombstone of a key that is deleted, or no longer so.
+func (m *Mirror) countTombstone(deleted, before bool) {
+	switch {
+	case deleted && !before:
+		m.tombstones++
+	case !deleted && before:
+		m.tombstones--
 	}
-	return changes
 }
 
 // decode returns the record of an item. A panic is an error, so that the other items of an update are applied.
