--- a/internal/control/dispute_test.go
+++ b/internal/control/dispute_test.go
@@ -71,6 +71,23 @@
 	r.expect(t, 2, true)
 }
 
+// TestTwoUndecidedReadsKeepGenuineContent guards against a gateway that goes back to older content, because the read which is to decide on
+// later keys meets a store that has lost them. A seed that is unproven itself names no keys, and decides nothing.
+func TestTwoUndecidedReadsKeepGenuineContent(t *testing.T) {
+	r := newLateReader()
+	r.SeedReplied(r.now, []mesh.Member{{ID: "b-1", DataCentre: "b", Addr: "y:1", ControlAddr: "y:2"}})
+	r.awaitRead(t)
+	r.receive(20, laterKeys, laterKeys)
+	r.answer(10, formerKeys)
+	r.expect(t, 2, false)
+	r.awaitRead(t)
+	r.answer(copiedRevision, formerKeys)
+	r.SeedKeys(r.now, nil)
+	r.expect(t, 2, false)
+	r.PullDone(r.now, "b-1", signedSnapshot(r, laterKeys, formerKeys), 0)
+	r.expect(t, 2, true)
+}
+
 // TestForgedProofIsRefused guards against forged content that stays, because a process that does not know the keys of the store's
 // configuration claims to prove it, or one that knows them has other content.
 func TestForgedProofIsRefused(t *testing.T) {
