--- a/internal/gateway/blocked_test.go
+++ b/internal/gateway/blocked_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
+	"github.com/dandelionvane/dandelionvane/internal/buildinfo"
 	"github.com/dandelionvane/dandelionvane/internal/control"
 	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
@@ -17,10 +18,11 @@
 
 func startOperatorListener(t *testing.T) (*process, http.Handler) {
 	t.Helper()
-	p := &process{settings: testSettings(), metrics: metrics.New()}
+	p := &process{settings: testSettings(), metrics: metrics.New(), program: buildinfo.NewCurrent()}
 	t.Cleanup(func() { _ = p.metrics.Close() })
 	p.loop = newLoop(control.New(boottime.Now(), p.settings.controlOptions(1, publishedtest.Protocol{})), func(control.Action) {})
 	ctx, cancel := context.WithCancel(context.Background())
+	p.ctx = ctx
 	go p.loop.run(ctx)
 	t.Cleanup(func() { cancel(); <-p.loop.done })
 	return p, p.operatorHandler()
