--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -40,8 +40,8 @@
 
 // dumpEvacuations returns the evacuated data centres, and those of them whose evacuation the store has lost.
 func (s *State) dumpEvacuations() (evacuated, lost []fleet.DataCentreID) {
-	for dc, is := range s.evacuated {
-		if is {
+	for dc, out := range s.evacuated {
+		if out {
 			evacuated = append(evacuated, dc)
 		}
 	}
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -21,10 +21,10 @@
 // PullRecords requests from a peer the last readable items of keys whose items in the store cannot be read. The response is
 // passed to RecordsPulled; a failure is not reported.
 type PullRecords struct {
-	From    fleet.InstanceID
-	Control string // the peer's control address
-	Keys    []string
-	Key     uint32 // ID of the key that should sign the response, 0: none
+	From       fleet.InstanceID
+	Control    string // the peer's control address
+	Keys       []string
+	SigningKey uint32 // ID of the key that should sign the response, 0: none
 }
 
 func (PullRecords) action() {}
@@ -41,7 +41,7 @@
 	if len(keys) == 0 || !known {
 		return
 	}
-	s.emit(PullRecords{From: from, Control: m.ControlAddr, Keys: keys[:min(len(keys), maxPulledRecords)], Key: s.trust.ring.PresentKey()})
+	s.emit(PullRecords{From: from, Control: m.ControlAddr, Keys: keys[:min(len(keys), maxPulledRecords)], SigningKey: s.trust.ring.PresentKey()})
 }
 
 // ReadableItems returns the items of keys that this process can read, as the response to a peer's PullRecords. It names no changes after an
--- a/internal/controltest/node.go
+++ b/internal/controltest/node.go
@@ -212,7 +212,7 @@
 	w.After(2*networkDelay, func() {
 		from.run(func() {
 			items := from.State.ReadableItems(action.Keys)
-			from.State.SignItems(w.Now(), &items, action.Key)
+			from.State.SignItems(w.Now(), &items, action.SigningKey)
 			w.After(networkDelay, func() {
 				if n.incarnation == process {
 					n.run(func() { n.State.RecordsPulled(w.Now(), action.From, items) })
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -69,7 +69,7 @@
 	var items wire.StoreUpdate
 	ctx, cancel := context.WithTimeout(p.ctx, pullTimeout)
 	defer cancel()
-	query := url.Values{"key": a.Keys, signingKeyParam: {strconv.FormatUint(uint64(a.Key), 10)}}
+	query := url.Values{"key": a.Keys, signingKeyParam: {strconv.FormatUint(uint64(a.SigningKey), 10)}}
 	resp, err := httpcall.Get(ctx, p.peerHTTPClient, "http://"+a.Control+recordsPath+"?"+query.Encode(), wire.MaxFrameBytes)
 	if err != nil {
 		return items, errors.Wrap(err, "gateway: pull records")
