--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -53,7 +54,7 @@
 // SetFlags implements subcommands.Command.
 func (c *command) SetFlags(f *flag.FlagSet) {
 	f.Uint64Var(&c.seed, "seed", rand.Uint64N(1<<32), "first seed")
-	f.IntVar(&c.mix, "mix", soak.LatestMix, "version of the mix of faults: 4 has mainly queries of death, 5 the same faults without them, 6 queries of death beside all others, 7 broken answers, 8 both, 9 broken answers and late answers of the store, 10 with queries of death, 11 those of 9 and starts while the store returns with an older copy, 12 with queries of death; replay uses that of each seed")
+	f.IntVar(&c.mix, "mix", soak.LatestMix, "version of the mix of faults; replay uses that of each seed:\n"+strings.Join(soak.Mixes(), "\n")+"\n")
 	f.DurationVar(&c.faultDuration, "length", 12*time.Second, "how long faults are injected per seed")
 	f.IntVar(&c.gateways, "gateways", 4, "number of gateway processes per fleet")
 	f.StringVar(&c.dir, "dir", filepath.Join(os.TempDir(), "dandelionvane-soak"), "directory for settings, logs and reports")
--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -8,6 +10,7 @@
 // mix is a version of the mix of faults. A seed plays the same faults only in the mix in which it has failed, so a mix
 // is never changed: new faults come with a new mix.
 type mix struct {
+	summary      string        // what is in it, in comparison with others
 	faults       []fault       // chosen with equal probability; one that is listed twice is chosen twice as often
 	idleTimeout  time.Duration // published idle timeout of callers' connections, 0 for none
 	burstCallers int           // number of callers that send bursts, per group of gateways
@@ -67,11 +70,7 @@
 )
 
 // mixes are the versions of the mix of faults. From mix 2 on, gateways have one processor each, so that requests wait in
-// the buffers of connections. Mix 4 has mainly ends of endpoints; mix 5 is mix 4 without queries of death;
-// mix 6 is mix 3 with a part of prompts that ends processes, beside contents that do; mix 7 is mix 3 without queries of death, with broken
-// answers, large bodies and planned stops that overlap; mix 8 is mix 7 with the queries of death of mix 6; mix 9 is mix 7 with text that
-// is no event in streams, and starts of gateways while the store's answers are late; mix 10 is mix 9 with the queries of death of mix 6;
-// mix 11 is mix 9 with gateways that start while the store returns with an older copy; mix 12 is mix 11 with the queries of death of mix 6.
+// the buffers of connections.
 var mixes map[int]mix
 
 var oneProcessor = []string{"GOMAXPROCS=1"}
@@ -83,24 +82,33 @@
 	withBursts := mix{idleTimeout: idleTimeout, burstCallers: 2, environment: oneProcessor}
 	endsOfEndpoints := mix{idleTimeout: idleTimeout, environment: oneProcessor}
 	mixes = map[int]mix{
-		1:  {faults: faultsOfMix1},
-		2:  withBursts.of(faultsOfMix2),
-		3:  withBursts.of(faultsOfMix3).withSharedContents().withQueriesOfDeath(0),
-		4:  endsOfEndpoints.of(faultsOfMix4).withSharedContents().withQueriesOfDeath(0),
-		5:  endsOfEndpoints.of(faultsOfMix4).withSharedContents(),
-		6:  withBursts.of(faultsOfMix3).withSharedContents().withQueriesOfDeath(1),
-		7:  withBursts.of(faultsOfMix7).withSharedContents().withUploads(),
-		8:  withBursts.of(faultsOfMix7).withSharedContents().withUploads().withQueriesOfDeath(1),
-		9:  withBursts.of(faultsOfMix9).withSharedContents().withUploads(),
-		10: withBursts.of(faultsOfMix9).withSharedContents().withUploads().withQueriesOfDeath(1),
-		11: withBursts.of(faultsOfMix11).withSharedContents().withUploads(),
-		12: withBursts.of(faultsOfMix11).withSharedContents().withUploads().withQueriesOfDeath(1),
+		1:  {summary: "ends, pauses and reloads of gateways, and faults of links, the store and endpoints", faults: faultsOfMix1},
+		2:  withBursts.of("mix 1 with bursts and changes that meet requests", faultsOfMix2),
+		3:  withBursts.of("mix 2 with ends of endpoints and queries of death", faultsOfMix3).withSharedContents().withQueriesOfDeath(0),
+		4:  endsOfEndpoints.of("mainly ends of endpoints, and queries of death", faultsOfMix4).withSharedContents().withQueriesOfDeath(0),
+		5:  endsOfEndpoints.of("mix 4 without queries of death", faultsOfMix4).withSharedContents(),
+		6:  withBursts.of("mix 3 with parts of prompts that end processes, too", faultsOfMix3).withSharedContents().withQueriesOfDeath(1),
+		7:  withBursts.of("mix 3 without queries of death, with broken answers, large bodies and planned stops that overlap", faultsOfMix7).withSharedContents().withUploads(),
+		8:  withBursts.of("mix 7 with the queries of death of mix 6", faultsOfMix7).withSharedContents().withUploads().withQueriesOfDeath(1),
+		9:  withBursts.of("mix 7 with text that is no event in streams, and starts while the store's answers are late", faultsOfMix9).withSharedContents().withUploads(),
+		10: withBursts.of("mix 9 with the queries of death of mix 6", faultsOfMix9).withSharedContents().withUploads().withQueriesOfDeath(1),
+		11: withBursts.of("mix 9 with starts while the store returns with an older copy", faultsOfMix11).withSharedContents().withUploads(),
+		12: withBursts.of("mix 11 with the queries of death of mix 6", faultsOfMix11).withSharedContents().withUploads().withQueriesOfDeath(1),
 	}
 }
 
-// of returns the mix with the given faults.
-func (m mix) of(faults []fault) mix {
-	m.faults = faults
+// Mixes returns a line on each mix of faults, in their order.
+func Mixes() []string {
+	var lines []string
+	for _, version := range slices.Sorted(maps.Keys(mixes)) {
+		lines = append(lines, fmt.Sprintf("%d: %s", version, mixes[version].summary))
+	}
+	return lines
+}
+
+// of returns the mix with the given summary and faults.
+func (m mix) of(summary string, faults []fault) mix {
+	m.summary, m.faults = summary, faults
 	return m
 }
 
