control: a gateway that cannot verify what its peers send reads the store soon

What callers saw: a gateway of a large fleet that was cut off while the API keys changed routed by the old configuration for up to nine seconds after the store was back, if its own reads had failed and its peers no longer held the former keys. A configuration has to be in force within five.

Cause: the backoff after failed reads grows to 6 s, with jitter to 9 s, late in the reader order, because peers report the store's recovery with their changes. This gateway refuses them: their signature is of an unknown key.

Why this works: the refusal itself shows that peers are no source, and bounds the backoff by a second, as in small fleets. It has no effect while reads succeed, so that forged updates do not make a gateway read more often (TestForgedChangesAreRefused).

--- a/internal/control/content_era_test.go
+++ b/internal/control/content_era_test.go
@@ -32,8 +32,8 @@
 	pending  int    // writes that are repeated later
 }
 
-func newEraPlay(seed uint64, loss float64) *eraPlay {
-	p := &eraPlay{orderPlay: newOrderPlay(seed, loss)}
+func newEraPlay(seed uint64, loss float64, perDataCentre ...int) *eraPlay {
+	p := &eraPlay{orderPlay: newOrderPlay(seed, loss, perDataCentre...)}
 	p.copied = p.w.Store.Copy()
 	p.w.Partitioned = p.partitioned
 	return p
@@ -149,11 +149,24 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		loss := rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "loss")
-		if err := newEraPlay(seed, loss).runEras(); err != nil {
+		if err := newEraPlay(seed, loss, smallPlay...).runEras(); err != nil {
 			t.Fatal(err)
 		}
 	})
 }
 
+// TestContentOfALargeFleetNeverGoesBackOverEras guards against the same in a fleet with aggregators, whose gateways rely on peers for longer
+// before they read the store themselves.
+func TestContentOfALargeFleetNeverGoesBackOverEras(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			if err := newEraPlay(seed, 0.05, largePlay...).runEras(); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
 // isEngine reports whether a key, of the store or of the history, is that of an engine.
 func isEngine(key string) bool { return strings.Contains(key, "engine") }
--- a/internal/control/content_order_test.go
+++ b/internal/control/content_order_test.go
@@ -28,6 +28,12 @@
 	lapseGrace = 2200 * time.Millisecond
 )
 
+// Sizes of the simulated fleets, per data centre.
+var (
+	smallPlay = []int{3, 2, 2, 2}
+	largePlay = []int{21, 21, 21, 21} // with aggregators
+)
+
 // absent is the value of a key that the store does not have.
 const absent = ""
 
@@ -51,9 +57,9 @@
 	written map[string]published.Item // the last item of each key of the store
 }
 
-func newOrderPlay(seed uint64, loss float64) *orderPlay {
+func newOrderPlay(seed uint64, loss float64, perDataCentre ...int) *orderPlay {
 	p := &orderPlay{
-		w: controltest.New(seed, 3, 2, 2, 2), rng: rand.New(rand.NewPCG(seed, 2)),
+		w: controltest.New(seed, perDataCentre...), rng: rand.New(rand.NewPCG(seed, 2)),
 		history: map[string]keyHistory{}, seen: map[string]int{}, missed: map[fleet.InstanceID]boottime.Instant{}, written: map[string]published.Item{},
 	}
 	p.w.Loss = loss
@@ -248,7 +254,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		loss := rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "loss")
-		if err := newOrderPlay(seed, loss).run(); err != nil {
+		if err := newOrderPlay(seed, loss, smallPlay...).run(); err != nil {
 			t.Fatal(err)
 		}
 	})
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -63,6 +63,7 @@
 		return true
 	}
 	s.log(event.PeerRefused, "peer", from, "revision", r, "known", known)
+	s.shortenBackoff()
 	return false
 }
 
@@ -152,6 +153,14 @@
 	return min(minReadBackoffLimit+time.Duration(positionsBehind)*readBackoffLimitStep, maxReadBackoffLimit)
 }
 
+// shortenBackoff bounds the backoff after failed reads by minReadBackoffLimit: this process cannot use what peers send, so that they
+// do not report the store's recovery to it.
+func (s *State) shortenBackoff() {
+	if r := &s.reader; r.failing {
+		r.nextReadNotBefore = min(r.nextReadNotBefore, r.onDemandNotBefore)
+	}
+}
+
 // ReadDone handles the result of a ReadStore action and sends the renewed Status to peers. A read with a revision that is too
 // far from the mirror's fails, unless the one before it had nearly the same.
 func (s *State) ReadDone(now boottime.Instant, u published.Update) {
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -6,7 +6,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/dandelionvane/dandelionvane/internal/boottime"
-	"github.com/dandelionvane/dandelionvane/internal/event"
 	"github.com/dandelionvane/dandelionvane/internal/fleet"
 	"github.com/dandelionvane/dandelionvane/internal/wire"
 )
@@ -60,7 +59,7 @@
 // RecordsPulled handles the response to a PullRecords action.
 func (s *State) RecordsPulled(now boottime.Instant, from fleet.InstanceID, m wire.StoreUpdate) {
 	if err := s.verifyRecords(now, &m); err != nil {
-		s.log(event.PeerRefused, "peer", from, "revision", m.Revision, "items", len(m.Items), "err", err.Error())
+		s.refuseUpdate(from, &m, err)
 		return
 	}
 	hadKey := s.trust.ring.HasKey()
--- a/internal/control/trust.go
+++ b/internal/control/trust.go
@@ -74,15 +74,20 @@
 			return true // no API keys are known, and the update has none
 		}
 		if s.mirror.Revision() != 0 {
-			s.log(event.PeerRefused, "peer", from, "revision", m.Revision, "items", len(m.Items), "err", errKeysFromPeer.Error())
+			s.refuseUpdate(from, m, errKeysFromPeer)
 			return false
 		}
 	}
-	err := verifyUpdate(now, ring, m)
-	if err != nil {
-		s.log(event.PeerRefused, "peer", from, "revision", m.Revision, "items", len(m.Items), "err", err.Error())
+	if err := verifyUpdate(now, ring, m); err != nil {
+		s.refuseUpdate(from, m, err)
+		return false
 	}
-	return err == nil
+	return true
+}
+
+func (s *State) refuseUpdate(from fleet.InstanceID, m *wire.StoreUpdate, err error) {
+	s.log(event.PeerRefused, "peer", from, "revision", m.Revision, "items", len(m.Items), "err", err.Error())
+	s.shortenBackoff()
 }
 
 func verifyUpdate(now boottime.Instant, ring *msgauth.Keyring, m *wire.StoreUpdate) error {
